--- /dev/null
+++ b/guavagap/admin.py
@@ -0,0 +1,156 @@
+"""The admin port: status, metrics and announcements of backend servers."""
+
+import json
+
+from guavagap.announcements import decode_announcement
+from guavagap.faults import decode_blocked
+from guavagap.http_messages import HttpRequest, HttpResponse
+from guavagap.messages import MemberState
+from guavagap.metrics import NodeMetrics
+
+__all__ = ["AdminPort", "status_of"]
+
+ANNOUNCEMENT_PREFIX = "/backend-servers/"
+_JSON = [(b"content-type", b"application/json")]
+
+
+def _json_response(status: int, value: object) -> HttpResponse:
+    return HttpResponse(status, _JSON, json.dumps(value).encode())
+
+
+def _members_status(node) -> list[dict]:
+    return [
+        {
+            "node_id": row.node_id,
+            "state": MemberState(row.state).name.lower(),
+            "incarnation": row.incarnation,
+            "region": row.region,
+            "failure_domain": row.failure_domain,
+            "admin_address": row.admin_address,
+            "is_relay": row.is_relay,
+            "backend_servers": [server._asdict() for server in row.backend_servers],
+        }
+        for row in node.table.rows()
+    ]
+
+
+def _services_status(node) -> dict[str, dict]:
+    services = {}
+    for service, entry in node.configuration.head["entries"].items():
+        if entry["is_deleted"]:
+            continue
+        state = node.configuration.snapshot.services.get(service)
+        rejection = node.configuration.rejections.get(service)
+        services[service] = {
+            "accepted_version": entry["version"],
+            "applied_version": 0 if state is None else state.version,
+            "stable_version": entry["stable_version"],
+            "rollout": entry["rollout"],
+            "rejection": None if rejection is None else rejection._asdict(),
+        }
+    return services
+
+
+def _pools_status(node) -> dict[str, list[dict]]:
+    pools: dict[str, list[dict]] = {}
+    for target in node.directory.all_targets():
+        server = target.server
+        pools.setdefault(f"{server.service}/{server.pool}", []).append(
+            {
+                "server_id": server.server_id,
+                "version": server.version,
+                "failure_domain": target.failure_domain,
+                "in_flight": target.health.in_flight,
+            }
+        )
+    return pools
+
+
+def _alarms(node) -> list[str]:
+    alarms = []
+    if node.relay.went_back:
+        alarms.append("platform went back in time")
+    if node.disseminator.split_epochs:
+        alarms.append("an epoch has two contents")
+    if node.configuration.rejections:
+        alarms.append("configuration rejected")
+    for failure_domain in sorted(node.table.unreachable_domains):
+        alarms.append(f"failure domain {failure_domain} unreachable")
+    return alarms
+
+
+def status_of(node) -> dict:
+    """Return the status of a node as plain JSON values."""
+    return {
+        "node_id": node.settings.node_id,
+        "is_ready": node.is_ready,
+        "is_draining": node.is_draining,
+        "is_relay": node.relay.is_held,
+        "epoch": node.configuration.epoch,
+        "head_digest": node.configuration.head_digest,
+        "platform_epoch": node.relay.platform_epoch,
+        "services": _services_status(node),
+        "pools": _pools_status(node),
+        "members": _members_status(node),
+        "notices": [notice._asdict() for notice in node.notices.all()],
+        "alarms": _alarms(node),
+    }
+
+
+class AdminPort:
+    """Answers requests on the admin port.
+
+    Args:
+        node: the node.
+    """
+
+    def __init__(self, node):
+        self._node = node
+        self._metrics = NodeMetrics(node)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        path = request.target.decode("latin-1")
+        method = request.method
+        if path == "/status" and method == b"GET":
+            return _json_response(200, status_of(self._node))
+        if path == "/metrics" and method == b"GET":
+            body, content_type = self._metrics.render()
+            return HttpResponse(200, [(b"content-type", content_type.encode())], body)
+        if path == "/faults" and method == b"PUT":
+            return await self._inject_faults(request.body)
+        if path.startswith(ANNOUNCEMENT_PREFIX):
+            server_id = path.removeprefix(ANNOUNCEMENT_PREFIX)
+            if method == b"PUT":
+                return await self._announce(server_id, request.body)
+            if method == b"DELETE":
+                return await self._leave(server_id)
+        return _json_response(404, {"error": f"no {method.decode()} {path}"})
+
+    async def _inject_faults(self, body: bytes) -> HttpResponse:
+        if not self._node.settings.allow_fault_injection:
+            return _json_response(403, {"error": "fault injection is not allowed"})
+        try:
+            self._node.blocked.replace(decode_blocked(body))
+        except ValueError as error:
+            return _json_response(422, {"error": str(error)})
+        await self._node.links.close_blocked()
+        return _json_response(200, {})
+
+    async def _announce(self, server_id: str, body: bytes) -> HttpResponse:
+        if self._node.is_draining:
+            return _json_response(503, {"error": "this node is shutting down"})
+        decoded = decode_announcement(body)
+        if decoded.is_error():
+            return _json_response(422, {"error": decoded.error})
+        if not server_id:
+            return _json_response(422, {"error": "no backend server identifier"})
+        self._node.announcements.announce(server_id, decoded.ok)
+        await self._node.announcements_changed()
+        return _json_response(200, {"server_id": server_id})
+
+    async def _leave(self, server_id: str) -> HttpResponse:
+        if not self._node.announcements.leave(server_id):
+            return _json_response(404, {"error": f"{server_id} is not announced"})
+        await self._node.announcements_changed()
+        return _json_response(200, {"server_id": server_id, "is_draining": True})
--- /dev/null
+++ b/guavagap/announcements.py
@@ -0,0 +1,118 @@
+"""Announcements: how backend servers make themselves known to their node.
+
+A backend server announces itself on its VM's admin port and renews that within
+``ttl_s``. It announces that it is leaving by deleting the announcement.
+"""
+
+import json
+from typing import Annotated
+
+from expression import Error, Ok, Result
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from typing_extensions import NotRequired, TypedDict
+
+from guavagap.addresses import parse_address
+from guavagap.documents import Name, VersionName
+from guavagap.messages import BackendServer
+
+__all__ = ["Announcement", "AnnouncementRegistry", "decode_announcement"]
+
+DEFAULT_POOL = "main"
+DEFAULT_TTL_S = 15.0
+DRAINED_RETENTION_S = 60.0
+
+
+class Announcement(TypedDict):
+    """What a backend server says of itself.
+
+    Attributes:
+        address: where it serves HTTP, an IP number and a port.
+        slots: how many requests it runs at once.
+        connections: how many connections it accepts.
+        ttl_s: after this long without renewal the announcement lapses.
+    """
+
+    __pydantic_config__ = ConfigDict(extra="forbid", strict=True)
+
+    service: Name
+    version: VersionName
+    pool: NotRequired[Name]
+    address: str
+    slots: Annotated[int, Field(ge=1, le=10_000)]
+    connections: Annotated[int, Field(ge=1, le=60_000)]
+    ttl_s: NotRequired[Annotated[float, Field(gt=0, le=3600)]]
+
+
+_ADAPTER = TypeAdapter(Announcement)
+
+
+def decode_announcement(body: bytes) -> Result[Announcement, str]:
+    """Decode and validate the JSON of an announcement."""
+    try:
+        announcement = _ADAPTER.validate_python(json.loads(body))
+        parse_address(announcement["address"])
+    except ValidationError as error:
+        problems = [
+            f"{'.'.join(map(str, item['loc']))}: {item['msg']}"
+            for item in error.errors(include_url=False)
+        ]
+        return Error("; ".join(problems))
+    except ValueError as error:
+        return Error(str(error))
+    return Ok(announcement)
+
+
+class AnnouncementRegistry:
+    """The backend servers of this VM.
+
+    Args:
+        clock: monotonic seconds.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._servers: dict[str, BackendServer] = {}
+        self._expires_at: dict[str, float] = {}
+
+    def announce(self, server_id: str, announcement: Announcement) -> BackendServer:
+        """Take or renew an announcement; a renewal ends an earlier leaving."""
+        server = BackendServer(
+            server_id,
+            announcement["service"],
+            announcement["version"],
+            announcement.get("pool", DEFAULT_POOL),
+            announcement["address"],
+            announcement["slots"],
+            announcement["connections"],
+        )
+        ttl_s = announcement.get("ttl_s", DEFAULT_TTL_S)
+        self._servers[server_id] = server
+        self._expires_at[server_id] = self._clock() + ttl_s
+        return server
+
+    def leave(self, server_id: str) -> bool:
+        """Mark a backend server as draining; return False when it is unknown."""
+        server = self._servers.get(server_id)
+        if server is None:
+            return False
+        self._servers[server_id] = server._replace(is_draining=True)
+        self._expires_at[server_id] = self._clock() + DRAINED_RETENTION_S
+        return True
+
+    def leave_all(self) -> None:
+        """Mark every backend server as draining."""
+        for server_id in list(self._servers):
+            self.leave(server_id)
+
+    def servers(self) -> tuple[BackendServer, ...]:
+        """Return the backend servers whose announcements have not lapsed."""
+        now_s = self._clock()
+        for server_id, expires_at_s in list(self._expires_at.items()):
+            if expires_at_s <= now_s:
+                del self._servers[server_id]
+                del self._expires_at[server_id]
+        return tuple(self._servers.values())
+
+    def get(self, server_id: str) -> BackendServer | None:
+        """Return a backend server of this VM."""
+        return self._servers.get(server_id)
--- /dev/null
+++ b/guavagap/caller_connections.py
@@ -0,0 +1,124 @@
+"""A caller's connection as the origin of a request."""
+
+import curio
+import h11
+
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.exchange import AnswerHead, Downstream
+from guavagap.http1 import Http1Connection, RequestHead
+
+__all__ = ["CallerDownstream", "READ_AHEAD_BYTES"]
+
+READ_AHEAD_BYTES = 65_536
+
+
+class CallerDownstream(Downstream):
+    """One request on a caller's connection.
+
+    Args:
+        connection: the caller's connection, after its request head.
+        head: that head.
+        max_body_bytes: larger bodies are refused.
+        read_timeout_s: limit of each wait for body bytes.
+        extra_headers: added to each answer.
+    """
+
+    def __init__(
+        self,
+        connection: Http1Connection,
+        head: RequestHead,
+        max_body_bytes: int,
+        read_timeout_s: float,
+        extra_headers: list[tuple[bytes, bytes]],
+    ):
+        self.chunks = []
+        self.is_body_complete = False
+        self._connection = connection
+        self._head = head
+        self._max_body_bytes = max_body_bytes
+        self._read_timeout_s = read_timeout_s
+        self._extra_headers = extra_headers
+        self._body_bytes = 0
+
+    async def read_ahead(self) -> None:
+        """Read the body until its end or until enough of it is at hand.
+
+        What is read ahead can be sent again in another attempt, and a slow
+        caller holds no slot of a backend server meanwhile.
+        """
+        if not self._head.has_body:
+            self._take_end_of_message()
+            return
+        self._check_size(self._head.content_length_bytes or 0)
+        if self._connection.h11.they_are_waiting_for_100_continue:
+            await self._connection.send(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        while self._body_bytes < READ_AHEAD_BYTES:
+            chunk = await self.read_body()
+            if chunk is None:
+                self.is_body_complete = True
+                return
+            self.chunks.append(chunk)
+
+    def _take_end_of_message(self) -> None:
+        event = self._connection.h11.next_event()
+        if type(event) is not h11.EndOfMessage:
+            raise GuavagapError(ErrorKind.BAD_REQUEST, "a body without a length")
+        self.is_body_complete = True
+
+    def _check_size(self, size_bytes: int) -> None:
+        if size_bytes > self._max_body_bytes:
+            raise GuavagapError(
+                ErrorKind.BODY_TOO_LARGE, f"allowed are {self._max_body_bytes} bytes"
+            )
+
+    async def read_body(self):
+        try:
+            event = await curio.timeout_after(
+                self._read_timeout_s, self._connection.next_event
+            )
+        except curio.TaskTimeout:
+            raise GuavagapError(ErrorKind.CALLER_TIMEOUT, "body too slow") from None
+        except OSError as error:
+            raise GuavagapError(ErrorKind.CALLER_GONE, repr(error)) from None
+        except h11.RemoteProtocolError as error:
+            _, is_closed = self._connection.h11.trailing_data
+            kind = ErrorKind.CALLER_GONE if is_closed else ErrorKind.BAD_REQUEST
+            raise GuavagapError(kind, str(error)) from None
+        if type(event) is h11.EndOfMessage:
+            return None
+        if type(event) is not h11.Data:
+            raise GuavagapError(ErrorKind.CALLER_GONE, "closed in mid request")
+        self._body_bytes += len(event.data)
+        self._check_size(self._body_bytes)
+        return bytes(event.data)
+
+    async def send_answer(self, answer: AnswerHead):
+        headers = answer.headers + self._extra_headers
+        events = [h11.Response(status_code=answer.status, headers=headers)]
+        events += self._body_events(answer.chunks, answer.is_complete)
+        self.is_answer_started = True
+        await self._send(events)
+
+    async def send_chunks(self, chunks, is_complete):
+        await self._send(self._body_events(chunks, is_complete))
+
+    def _body_events(self, chunks: list[bytes], is_complete: bool) -> list:
+        events: list = [h11.Data(data=chunk) for chunk in chunks]
+        if is_complete:
+            events.append(h11.EndOfMessage())
+        return events
+
+    async def _send(self, events: list) -> None:
+        try:
+            await self._connection.send(*events)
+        except OSError as error:
+            raise GuavagapError(ErrorKind.CALLER_GONE, repr(error)) from None
+        except h11.LocalProtocolError as error:
+            raise GuavagapError(
+                ErrorKind.BACKEND_SERVER_PROTOCOL, f"answer not sendable: {error}"
+            ) from None
+
+    def is_gone(self):
+        return self._connection.is_closed_by_peer()
--- /dev/null
+++ b/guavagap/cli.py
@@ -0,0 +1,247 @@
+"""The command line ``guavagap``.
+
+Exit codes: 0 done, 1 refused or rolled back, 2 usage, 3 platform unreachable.
+"""
+
+import getpass
+import json
+import sys
+from datetime import datetime, timezone
+from pathlib import Path
+
+import click
+import curio
+
+from guavagap import __version__, porcelain
+from guavagap.addresses import Address, parse_address
+from guavagap.errors import (
+    EXIT_DONE,
+    EXIT_REFUSED,
+    EXIT_USAGE,
+    ErrorKind,
+    GuavagapError,
+    answer_for,
+)
+from guavagap.platform_http import open_platform
+from guavagap.settings import parse_platform_url
+
+__all__ = ["main", "run"]
+
+DEFAULT_LOG_LIMIT = 20
+DEFAULT_WAIT_S = 3600.0
+_PATHS = click.argument(
+    "paths", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path)
+)
+
+
+class _Context:
+    """Options that every command shares."""
+
+    def __init__(self, platform: Address | None, admin: Address | None, is_json: bool):
+        self.platform = platform
+        self.admin = admin
+        self.is_json = is_json
+
+    def call(self, function, *args):
+        """Run ``function(platform, *args)`` with an open platform client."""
+        if self.platform is None:
+            raise GuavagapError(
+                ErrorKind.SETTING_INVALID,
+                "the platform is not set; give --platform-url http://IP:PORT"
+                " or GUAVAGAP_PLATFORM_URL",
+            )
+        return curio.run(_with_platform, self.platform, function, args)
+
+    def show(self, value: object, text: str) -> None:
+        """Print a value as JSON or its text for people."""
+        click.echo(json.dumps(value, default=str) if self.is_json else text)
+
+
+async def _with_platform(address: Address, function, args):
+    async with open_platform(address) as platform:
+        return await function(platform, *args)
+
+
+def _parse_option(parse, text: str | None, allowed: str):
+    if text is None:
+        return None
+    try:
+        return parse(text)
+    except ValueError:
+        raise click.BadParameter(f"{text!r}: allowed is {allowed}") from None
+
+
+@click.group(context_settings={"auto_envvar_prefix": "GUAVAGAP"})
+@click.version_option(__version__)
+@click.option("--platform-url", help="http://IP:PORT of the key-value service.")
+@click.option("--admin-address", help="IP:PORT of any node's admin port.")
+@click.option(
+    "--output", type=click.Choice(["text", "json"]), default="text", show_default=True
+)
+@click.pass_context
+def main(context, platform_url, admin_address, output):
+    """Edit and read the configuration of the service mesh."""
+    context.obj = _Context(
+        _parse_option(parse_platform_url, platform_url, "http://IP:PORT"),
+        _parse_option(parse_address, admin_address, "IP:PORT"),
+        output == "json",
+    )
+
+
+@main.command()
+@_PATHS
+@click.pass_obj
+def check(context, paths):
+    """Validate documents without committing them."""
+    checked = porcelain.check_files(list(paths))
+    if checked.is_error():
+        problems = [problem._asdict() for problem in checked.error]
+        text = "\n".join(str(problem) for problem in checked.error)
+        context.show({"problems": problems}, text)
+        sys.exit(EXIT_REFUSED)
+    names = [document["service"] for document in checked.ok]
+    context.show({"problems": []}, f"valid: {', '.join(names)}")
+
+
+@main.command()
+@_PATHS
+@click.option("--author", default=getpass.getuser, help="Default: the login name.")
+@click.option("--message", "-m", default="", help="Why, for the audit trail.")
+@click.pass_obj
+def apply(context, paths, author, message):
+    """Commit documents: all of them in one step, or none."""
+    commit = context.call(porcelain.apply_files, list(paths), author, message)
+    if not commit.versions:
+        context.show(commit._asdict(), f"nothing to change, epoch {commit.epoch}")
+        return
+    names = ", ".join(f"{name} {number}" for name, number in commit.versions.items())
+    context.show(commit._asdict(), f"accepted at epoch {commit.epoch}: {names}")
+
+
+@main.command()
+@click.argument("service")
+@click.option("--author", default=getpass.getuser)
+@click.option("--message", "-m", default="")
+@click.pass_obj
+def delete(context, service, author, message):
+    """Withdraw a service and its routes."""
+    commit = context.call(porcelain.delete, service, author, message)
+    context.show(commit._asdict(), f"withdrawn at epoch {commit.epoch}: {service}")
+
+
+@main.command()
+@click.argument("service")
+@click.pass_obj
+def get(context, service):
+    """Show the accepted document of a service, to be edited from."""
+    accepted = context.call(porcelain.get_document, service)
+    text = (
+        f"# version {accepted.entry['version']} by {accepted.entry['author']}\n"
+        f"# an edit of it says edited_from = {accepted.entry['version']}\n"
+        + json.dumps(accepted.document, indent=2, sort_keys=True)
+    )
+    context.show(accepted._asdict(), text)
+
+
+@main.command()
+@_PATHS
+@click.pass_obj
+def diff(context, paths):
+    """Compare documents with the accepted ones."""
+    lines = context.call(porcelain.diff_files, list(paths))
+    context.show(lines, "\n".join(lines) or "no difference")
+
+
+@main.command()
+@click.argument("service", required=False)
+@click.option("--limit", default=DEFAULT_LOG_LIMIT, type=click.IntRange(1, 10_000))
+@click.pass_obj
+def log(context, service, limit):
+    """Show the audit trail, newest first."""
+    changes = context.call(porcelain.list_changes, limit, service)
+    context.show(changes, "\n".join(_format_change(change) for change in changes))
+
+
+def _format_change(change) -> str:
+    time_text = datetime.fromtimestamp(
+        change["committed_at_s"], timezone.utc
+    ).isoformat(timespec="seconds")
+    versions = " ".join(f"{name}@{v}" for name, v in change["versions"].items())
+    return (
+        f"{change['epoch']}\t{time_text}\t{change['kind']}\t{change['author']}"
+        f"\t{versions}\t{change['message']}"
+    )
+
+
+@main.command()
+@click.argument("service")
+@click.option("--wait", is_flag=True, help="Wait for the verdict.")
+@click.option("--timeout-s", default=DEFAULT_WAIT_S, type=click.FloatRange(0))
+@click.pass_obj
+def status(context, service, wait, timeout_s):
+    """Show whether a rollout is running, completed or rolled back."""
+    if wait:
+        verdict = context.call(
+            porcelain.wait_for_verdict, service, timeout_s, _show_progress
+        )
+    else:
+        verdict = context.call(porcelain.service_status, service)
+    context.show(verdict._asdict(), verdict.sentence())
+    if verdict.verdict in ("rolled_back", "aborted"):
+        sys.exit(EXIT_REFUSED)
+
+
+def _show_progress(current) -> None:
+    click.echo(current.sentence(), err=True)
+
+
+@main.command()
+@click.pass_obj
+def nodes(context):
+    """List the nodes with the epoch that each has applied."""
+    if context.admin is not None:
+        summaries = curio.run(porcelain.list_nodes, None, context.admin)
+    else:
+        summaries = context.call(porcelain.list_nodes, None)
+    rows = [_format_node(summary) for summary in summaries]
+    context.show([summary._asdict() for summary in summaries], "\n".join(rows))
+
+
+def _format_node(summary) -> str:
+    epoch = "-" if summary.epoch is None else str(summary.epoch)
+    marks = (["relay"] if summary.is_relay else []) + list(summary.alarms)
+    return (
+        f"{summary.node_id}\t{summary.failure_domain}\t{summary.state}"
+        f"\tepoch {epoch}\t{', '.join(marks)}"
+    )
+
+
+@main.command()
+@click.option("--above-epoch", required=True, type=click.IntRange(0))
+@click.option("--author", default=getpass.getuser)
+@click.pass_obj
+def recover(context, above_epoch, author):
+    """Move a head that went back in time past the epochs that nodes hold."""
+    commit = context.call(porcelain.recover, above_epoch, author)
+    context.show(commit._asdict(), f"head raised to epoch {commit.epoch}")
+
+
+def run() -> None:
+    """Entry point of the command line."""
+    try:
+        main(standalone_mode=False)
+    except click.exceptions.Exit as error:
+        sys.exit(error.exit_code)
+    except click.ClickException as error:
+        error.show()
+        sys.exit(EXIT_USAGE)
+    except click.Abort:
+        sys.exit(EXIT_REFUSED)
+    except GuavagapError as error:
+        click.echo(f"guavagap: {error.detail}", err=True)
+        sys.exit(answer_for(error.kind).exit_code)
+    sys.exit(EXIT_DONE)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/guavagap/commits.py
@@ -0,0 +1,467 @@
+"""Commits: acceptance of changes by one compare-and-swap of the head.
+
+Bodies are written first under their digest and are never changed. The swap of
+the head is the only step that puts anything in force. Each commit first writes
+the audit record of the commit before it, so the trail has no gap even when an
+author dies between the swap and its own record.
+"""
+
+import json
+import random
+import time
+import uuid
+from datetime import datetime
+from typing import Awaitable, Callable, NamedTuple
+
+import curio
+from pydantic import TypeAdapter
+
+from guavagap.documents import (
+    Document,
+    decode_document,
+    digest_of,
+    encode_document,
+    route_matches_overlap,
+)
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.head import (
+    EMPTY_HEAD,
+    Change,
+    Entry,
+    Head,
+    Rollout,
+    decode_head,
+    encode_head,
+)
+from guavagap.platform import ABSENT, Platform
+
+__all__ = [
+    "Commit",
+    "DocumentReader",
+    "HEAD_KEY",
+    "apply_documents",
+    "audit_key",
+    "body_key",
+    "delete_service",
+    "raise_epoch",
+    "read_audit",
+    "read_body",
+    "read_head",
+    "swap_head",
+]
+
+HEAD_KEY = "head"
+MAX_SWAP_ATTEMPTS = 40
+FIRST_BACKOFF_S = 0.01
+MAX_BACKOFF_S = 0.5
+MAX_ROLLED_BACK_VERSIONS = 50
+
+_CHANGE_ADAPTER = TypeAdapter(Change)
+
+HeadEdit = Callable[[Head], Awaitable[Head | None]]
+
+
+class Commit(NamedTuple):
+    """The outcome of a commit.
+
+    Attributes:
+        epoch: the epoch at which the change is in force.
+        versions: document versions it created; empty when nothing changed.
+        attempts: number of compare-and-swap calls.
+    """
+
+    epoch: int
+    versions: dict[str, int]
+    attempts: int
+
+
+def body_key(service: str, digest: str) -> str:
+    """Return the platform key of a document body."""
+    return f"doc/{service}/{digest}"
+
+
+def audit_key(epoch: int) -> str:
+    """Return the platform key of an audit record."""
+    return f"audit/{epoch:010d}"
+
+
+async def read_head(platform: Platform) -> tuple[Head, str]:
+    """Return the head and its revision; an empty head when there is none."""
+    value = await platform.get(HEAD_KEY)
+    if value is None:
+        return EMPTY_HEAD, ABSENT
+    return decode_head(value.body), value.revision
+
+
+async def read_body(platform: Platform, service: str, digest: str) -> bytes:
+    """Return a document body.
+
+    Raises:
+        GuavagapError: NOT_FOUND, or CONFIGURATION_REJECTED when the body does
+            not have the digest.
+    """
+    value = await platform.get(body_key(service, digest))
+    if value is None:
+        raise GuavagapError(ErrorKind.NOT_FOUND, f"no body {digest} of {service}")
+    if digest_of(value.body) != digest:
+        raise GuavagapError(
+            ErrorKind.CONFIGURATION_REJECTED, f"the body of {service} is corrupt"
+        )
+    return value.body
+
+
+class DocumentReader:
+    """Reads accepted documents and remembers them by digest."""
+
+    def __init__(self, platform: Platform):
+        self._platform = platform
+        self._documents: dict[str, Document] = {}
+
+    async def read(self, service: str, digest: str) -> Document:
+        """Return an accepted document."""
+        if digest not in self._documents:
+            body = await read_body(self._platform, service, digest)
+            checked = decode_document(body, service)
+            if checked.is_error():
+                raise GuavagapError(
+                    ErrorKind.CONFIGURATION_REJECTED, str(checked.error[0])
+                )
+            self._documents[digest] = checked.ok
+        return self._documents[digest]
+
+
+def make_change(kind: str, author: str, message: str) -> Change:
+    """Return a change with a new identifier; the swap fills in the rest."""
+    return {
+        "id": uuid.uuid4().hex,
+        "epoch": 0,
+        "kind": kind,
+        "author": author,
+        "message": message,
+        "committed_at_s": time.time(),
+        "versions": {},
+    }
+
+
+async def _write_audit(platform: Platform, change: Change | None) -> None:
+    """Write an audit record unless it is there already."""
+    if change is None:
+        return
+    body = json.dumps(change, sort_keys=True).encode()
+    try:
+        await platform.put(audit_key(change["epoch"]), body, ABSENT)
+    except GuavagapError as error:
+        if error.kind is not ErrorKind.CONFLICT:
+            raise
+
+
+async def read_audit(platform: Platform, epoch: int) -> Change | None:
+    """Return the audit record of an epoch."""
+    value = await platform.get(audit_key(epoch))
+    return None if value is None else _CHANGE_ADAPTER.validate_json(value.body)
+
+
+async def _find_own_change(
+    platform: Platform, change: Change, since_epoch: int
+) -> int | None:
+    """Return the epoch under which a change was accepted, if it was."""
+    head, _ = await read_head(platform)
+    latest = head["change"]
+    if latest is not None and latest["id"] == change["id"]:
+        return head["epoch"]
+    for epoch in range(since_epoch + 1, head["epoch"]):
+        record = await read_audit(platform, epoch)
+        if record is not None and record["id"] == change["id"]:
+            return epoch
+    return None
+
+
+def _backoff_s(attempt: int) -> float:
+    """Return a full-jitter exponential back-off."""
+    return random.uniform(0, min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**attempt))
+
+
+async def swap_head(platform: Platform, change: Change, edit: HeadEdit) -> Commit:
+    """Edit the head by compare-and-swap until it succeeds.
+
+    Args:
+        platform: the platform.
+        change: identifies the commit; see :func:`make_change`.
+        edit: returns the new entries as a head with the next epoch, or None
+            when nothing has to change; raises to give up.
+
+    Raises:
+        GuavagapError: CONFLICT after too many lost races, PLATFORM_UNREACHABLE
+            when it is not known whether the change was accepted, and whatever
+            ``edit`` raises.
+    """
+    unanswered_since: int | None = None
+    for attempt in range(MAX_SWAP_ATTEMPTS):
+        if unanswered_since is not None:
+            epoch = await _find_own_change(platform, change, unanswered_since)
+            if epoch is not None:
+                return Commit(epoch, change["versions"], attempt)
+        head, revision = await read_head(platform)
+        new_head = await edit(head)
+        if new_head is None:
+            return Commit(head["epoch"], {}, attempt)
+        change["epoch"] = new_head["epoch"]
+        new_head["change"] = change
+        await _write_audit(platform, head["change"])
+        try:
+            await platform.put(HEAD_KEY, encode_head(new_head), revision)
+        except GuavagapError as error:
+            if error.kind is ErrorKind.CONFLICT:
+                await curio.sleep(_backoff_s(attempt))
+                continue
+            if error.kind is not ErrorKind.PLATFORM_UNREACHABLE:
+                raise
+            if unanswered_since is None:
+                unanswered_since = head["epoch"]
+            await _wait_for_platform(platform, change)
+            continue
+        return await _record_commit(platform, change, attempt + 1)
+    raise GuavagapError(
+        ErrorKind.CONFLICT, f"lost {MAX_SWAP_ATTEMPTS} races for the head; try again"
+    )
+
+
+async def _wait_for_platform(platform: Platform, change: Change) -> None:
+    """Return when the platform answers again.
+
+    Raises:
+        GuavagapError: PLATFORM_UNREACHABLE, saying that the outcome is unknown.
+    """
+    try:
+        await platform.get(HEAD_KEY)
+    except GuavagapError:
+        raise GuavagapError(
+            ErrorKind.PLATFORM_UNREACHABLE,
+            f"it is not known whether change {change['id']} was accepted;"
+            " look for it with `guavagap log` when the platform answers",
+        ) from None
+
+
+async def _record_commit(platform: Platform, change: Change, attempts: int) -> Commit:
+    try:
+        await _write_audit(platform, change)
+    except GuavagapError:
+        # The next commit writes this record from the head before its own swap.
+        pass
+    return Commit(change["epoch"], change["versions"], attempts)
+
+
+def _check_base(document: Document, entry: Entry | None) -> None:
+    held_version = 0 if entry is None else entry["version"]
+    if document["edited_from"] == held_version:
+        return
+    service = document["service"]
+    if entry is None:
+        detail = (
+            f"{service}: edited from version {document['edited_from']}, none is held"
+        )
+    else:
+        committed_at = datetime.fromtimestamp(entry["committed_at_s"]).astimezone()
+        detail = (
+            f"{service}: edited from version {document['edited_from']}, but"
+            f" {entry['author']} committed version {entry['version']} at"
+            f" {committed_at.isoformat(timespec='seconds')};"
+            f" read it with `guavagap get {service}` and edit that"
+        )
+    raise GuavagapError(ErrorKind.CONFLICT, detail)
+
+
+def _next_rollout(document: Document, entry: Entry, now_s: float) -> Rollout | None:
+    """Return the rollout that a new document asks for."""
+    wanted = document["wanted"]
+    to_version = wanted["backend_server_version"]
+    declared = wanted.get("state", "run")
+    current = entry["rollout"]
+    complete_by_s = datetime.fromisoformat(wanted["complete_by"]).timestamp()
+    if to_version == entry["stable_version"]:
+        if current is None or current["state"] not in ("running", "paused"):
+            return current
+        return current | {
+            "state": "aborted",
+            "weight_permille": 0,
+            "reason": f"the document wants {to_version} again",
+        }
+    if current is None or current["to_version"] != to_version:
+        current = {
+            "from_version": entry["stable_version"],
+            "to_version": to_version,
+            "state": "running",
+            "weight_permille": 0,
+            "started_at_s": now_s,
+            "stage_started_at_s": now_s,
+            "complete_by_s": complete_by_s,
+            "reason": "accepted",
+        }
+    state = {"run": "running", "pause": "paused", "abort": "aborted"}[declared]
+    if current["state"] in ("completed", "rolled_back"):
+        return current
+    weight = 0 if state == "aborted" else current["weight_permille"]
+    reason = current["reason"] if state == "running" else f"declared: {declared}"
+    return current | {
+        "state": state,
+        "weight_permille": weight,
+        "complete_by_s": complete_by_s,
+        "reason": reason,
+    }
+
+
+def _next_entry(
+    document: Document, entry: Entry | None, change: Change, epoch: int
+) -> Entry:
+    wanted_version = document["wanted"]["backend_server_version"]
+    if entry is not None and wanted_version in entry["rolled_back_versions"]:
+        raise GuavagapError(
+            ErrorKind.ROLLED_BACK,
+            f"{document['service']}: version {wanted_version} was rolled back;"
+            " the verdict is final, release a new version",
+        )
+    is_new = entry is None or entry["is_deleted"]
+    base: Entry = {
+        "version": document["edited_from"] + 1,
+        "digest": digest_of(encode_document(document)),
+        "epoch": epoch,
+        "document_epoch": epoch,
+        "author": change["author"],
+        "committed_at_s": change["committed_at_s"],
+        "stable_version": wanted_version if is_new else entry["stable_version"],
+        "rollout": None,
+        "rolled_back_versions": [] if entry is None else entry["rolled_back_versions"],
+        "is_deleted": False,
+    }
+    if not is_new:
+        base["rollout"] = _next_rollout(document, entry, change["committed_at_s"])
+    return base
+
+
+async def _check_overlaps(
+    documents: dict[str, Document], head: Head, reader: DocumentReader
+) -> None:
+    """Refuse routes that another service already claims."""
+    all_documents = dict(documents)
+    for service, entry in head["entries"].items():
+        if service not in documents and not entry["is_deleted"]:
+            all_documents[service] = await reader.read(service, entry["digest"])
+    for service, document in documents.items():
+        for other_service, other in all_documents.items():
+            if other_service != service:
+                _check_overlap(document, other)
+
+
+def _check_overlap(document: Document, other: Document) -> None:
+    for route in document["routes"]:
+        for other_route in other["routes"]:
+            if route_matches_overlap(route, other_route):
+                raise GuavagapError(
+                    ErrorKind.DOCUMENT_INVALID,
+                    f"{document['service']}: route {route['name']} matches the same"
+                    f" requests as route {other_route['name']} of {other['service']}",
+                )
+
+
+async def apply_documents(
+    platform: Platform, documents: list[Document], author: str, message: str
+) -> Commit:
+    """Commit documents: all of them or none.
+
+    Raises:
+        GuavagapError: CONFLICT when a document was edited from another version
+            than the accepted one, DOCUMENT_INVALID, ROLLED_BACK, or
+            PLATFORM_UNREACHABLE.
+    """
+    by_service = {document["service"]: document for document in documents}
+    change = make_change("apply", author, message)
+    reader = DocumentReader(platform)
+
+    async def edit(head: Head) -> Head | None:
+        changed = {
+            service: document
+            for service, document in by_service.items()
+            if not _is_unchanged(document, head["entries"].get(service))
+        }
+        if not changed:
+            return None
+        epoch = head["epoch"] + 1
+        entries = dict(head["entries"])
+        change["versions"] = {}
+        for service, document in changed.items():
+            _check_base(document, entries.get(service))
+            entry = _next_entry(document, entries.get(service), change, epoch)
+            entries[service] = entry
+            change["versions"][service] = entry["version"]
+        await _check_overlaps(changed, head, reader)
+        await _write_bodies(platform, changed)
+        return {"epoch": epoch, "change": None, "entries": entries}
+
+    return await swap_head(platform, change, edit)
+
+
+def _is_unchanged(document: Document, entry: Entry | None) -> bool:
+    if entry is None or entry["is_deleted"]:
+        return False
+    return digest_of(encode_document(document)) == entry["digest"]
+
+
+async def _write_bodies(platform: Platform, documents: dict[str, Document]) -> None:
+    for service, document in documents.items():
+        body = encode_document(document)
+        try:
+            await platform.put(body_key(service, digest_of(body)), body, ABSENT)
+        except GuavagapError as error:
+            if error.kind is not ErrorKind.CONFLICT:
+                raise
+
+
+async def delete_service(
+    platform: Platform, service: str, author: str, message: str
+) -> Commit:
+    """Commit the withdrawal of a service and its routes.
+
+    Raises:
+        GuavagapError: NOT_FOUND, CONFLICT or PLATFORM_UNREACHABLE.
+    """
+    change = make_change("delete", author, message)
+
+    async def edit(head: Head) -> Head | None:
+        entry = head["entries"].get(service)
+        if entry is None:
+            raise GuavagapError(ErrorKind.NOT_FOUND, f"no service {service}")
+        if entry["is_deleted"]:
+            return None
+        epoch = head["epoch"] + 1
+        change["versions"] = {service: entry["version"] + 1}
+        deleted = entry | {
+            "version": entry["version"] + 1,
+            "epoch": epoch,
+            "document_epoch": epoch,
+            "author": author,
+            "committed_at_s": change["committed_at_s"],
+            "rollout": None,
+            "is_deleted": True,
+        }
+        entries = head["entries"] | {service: deleted}
+        return {"epoch": epoch, "change": None, "entries": entries}
+
+    return await swap_head(platform, change, edit)
+
+
+async def raise_epoch(platform: Platform, above_epoch: int, author: str) -> Commit:
+    """Move a head that went back in time past every epoch that nodes hold.
+
+    Every entry is stamped with the new epoch, so each node takes all of them.
+    """
+    change = make_change("recover", author, f"epoch raised above {above_epoch}")
+
+    async def edit(head: Head) -> Head | None:
+        epoch = max(head["epoch"], above_epoch) + 1
+        entries = {
+            service: entry | {"epoch": epoch, "document_epoch": epoch}
+            for service, entry in head["entries"].items()
+        }
+        return {"epoch": epoch, "change": None, "entries": entries}
+
+    return await swap_head(platform, change, edit)
--- /dev/null
+++ b/guavagap/configuration.py
@@ -0,0 +1,193 @@
+"""The configuration that a node holds and the snapshot it serves from.
+
+The epoch only rises: the check stands in :meth:`Configuration.apply`, the one
+place where a delta is put in force. Each commit is taken whole or not at all;
+a rejected one leaves its services on the previous version.
+"""
+
+from typing import NamedTuple
+
+from guavagap.documents import (
+    Document,
+    decode_document,
+    digest_of,
+    route_matches_overlap,
+)
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.head import (
+    EMPTY_HEAD,
+    Delta,
+    Entry,
+    Head,
+    delta_between,
+    digest_of_head,
+    merge_delta,
+)
+from guavagap.logs import get_logger
+from guavagap.snapshot import EMPTY_SNAPSHOT, Snapshot, build_snapshot
+
+__all__ = ["Configuration", "Rejection"]
+
+log = get_logger()
+
+Held = dict[str, tuple[Entry, Document | None]]
+
+
+class Rejection(NamedTuple):
+    """Why the latest version of a service is not applied on this node."""
+
+    service: str
+    version: int
+    epoch: int
+    reason: str
+
+
+class Configuration:
+    """Head, bodies and snapshot of one node.
+
+    Attributes:
+        head: the head held, including entries that were rejected.
+        bodies: document bodies by digest, for other nodes.
+        snapshot: what requests are routed by.
+        rejections: by service.
+    """
+
+    def __init__(self):
+        self.head: Head = EMPTY_HEAD
+        self.head_digest = digest_of_head(0, {})
+        self.bodies: dict[str, bytes] = {}
+        self.snapshot: Snapshot = EMPTY_SNAPSHOT
+        self.rejections: dict[str, Rejection] = {}
+        self._held: Held = {}
+
+    @property
+    def epoch(self) -> int:
+        """The epoch applied, 0 before the first."""
+        return self.head["epoch"]
+
+    def delta_since(self, base_epoch: int) -> Delta:
+        """Return the delta that brings another node to this epoch."""
+        return delta_between(self.head, self.bodies, base_epoch)
+
+    def has_body(self, digest: str) -> bool:
+        """Return whether a document body is held."""
+        return digest in self.bodies
+
+    def apply(self, delta: Delta) -> bool:
+        """Put a delta in force.
+
+        Returns:
+            False when its epoch is not higher than the one applied.
+
+        Raises:
+            GuavagapError: CONFIGURATION_REJECTED when the delta has a gap, a
+                wrong digest or lacks a body; nothing is changed then.
+        """
+        if delta.epoch <= self.epoch:
+            return False
+        head = merge_delta(self.head, delta)
+        bodies = self._checked_bodies(head, delta)
+        held, rejections = self._take_commits(head, bodies)
+        snapshot = build_snapshot(head["epoch"], held)
+        self.head, self.bodies, self._held = head, bodies, held
+        self.rejections, self.snapshot = rejections, snapshot
+        self.head_digest = delta.head_digest
+        self._log_applied()
+        return True
+
+    def _checked_bodies(self, head: Head, delta: Delta) -> dict[str, bytes]:
+        for digest, body in delta.bodies.items():
+            if digest_of(body) != digest:
+                raise GuavagapError(
+                    ErrorKind.CONFIGURATION_REJECTED, f"body {digest} is corrupt"
+                )
+        bodies = {}
+        for service, entry in head["entries"].items():
+            if entry["is_deleted"]:
+                continue
+            digest = entry["digest"]
+            body = delta.bodies.get(digest) or self.bodies.get(digest)
+            if body is None:
+                raise GuavagapError(
+                    ErrorKind.CONFIGURATION_REJECTED, f"no body {digest} of {service}"
+                )
+            bodies[digest] = body
+        return bodies
+
+    def _take_commits(
+        self, head: Head, bodies: dict[str, bytes]
+    ) -> tuple[Held, dict[str, Rejection]]:
+        """Take the commits of a head in order, each whole or not at all."""
+        held: Held = {}
+        commits: dict[int, dict[str, Entry]] = {}
+        for service, entry in head["entries"].items():
+            before = self._held.get(service)
+            if before is not None and before[0]["digest"] == entry["digest"]:
+                document = None if entry["is_deleted"] else before[1]
+                held[service] = (entry, document)
+                continue
+            commits.setdefault(entry["document_epoch"], {})[service] = entry
+            if before is not None:
+                held[service] = before
+        rejections: dict[str, Rejection] = {}
+        for epoch in sorted(commits):
+            problem = _take_commit(held, commits[epoch], bodies)
+            if problem is None:
+                continue
+            for service, entry in commits[epoch].items():
+                rejections[service] = Rejection(
+                    service, entry["version"], epoch, problem
+                )
+        return held, rejections
+
+    def _log_applied(self) -> None:
+        log.info(
+            "configuration applied",
+            epoch=self.epoch,
+            digest=self.head_digest,
+            services=len(self.snapshot.services),
+            rejected=len(self.rejections),
+        )
+        for rejection in self.rejections.values():
+            log.error("configuration rejected", **rejection._asdict())
+
+
+def _take_commit(
+    held: Held, entries: dict[str, Entry], bodies: dict[str, bytes]
+) -> str | None:
+    """Add the services of one commit to ``held``.
+
+    Returns:
+        The reason of a rejection, with ``held`` unchanged.
+    """
+    taken: Held = {}
+    for service, entry in entries.items():
+        if entry["is_deleted"]:
+            taken[service] = (entry, None)
+            continue
+        checked = decode_document(bodies[entry["digest"]], service)
+        if checked.is_error():
+            return str(checked.error[0])
+        if checked.ok["service"] != service:
+            return f"the body of {service} is that of {checked.ok['service']}"
+        taken[service] = (entry, checked.ok)
+    problem = _find_overlap({**held, **taken}, set(taken))
+    if problem is None:
+        held.update(taken)
+    return problem
+
+
+def _find_overlap(held: Held, changed: set[str]) -> str | None:
+    for service in changed:
+        document = held[service][1]
+        for other_service, (_, other) in held.items():
+            if other_service == service or other is None or document is None:
+                continue
+            for route in document["routes"]:
+                for other_route in other["routes"]:
+                    if route_matches_overlap(route, other_route):
+                        return (
+                            f"route {route['name']} of {service} matches the same"
+                            f" requests as {other_route['name']} of {other_service}"
+                        )
+    return None
--- /dev/null
+++ b/guavagap/daemon.py
@@ -0,0 +1,123 @@
+"""The daemon ``guavagapd``: one process for each backend server VM."""
+
+import gc
+import sys
+import time
+
+import click
+import curio
+
+from guavagap import __version__
+from guavagap.admin import AdminPort
+from guavagap.errors import EXIT_DONE, EXIT_USAGE, GuavagapError
+from guavagap.http1 import open_listener
+from guavagap.http_messages import accept_connections, serve_http
+from guavagap.logs import configure_logs, get_logger
+from guavagap.node import Node, open_node
+from guavagap.settings import Settings, daemon_options, settings_from_options
+from guavagap.shutdown import open_shutdown_signal
+
+__all__ = ["main", "run", "run_daemon"]
+
+log = get_logger()
+
+DRAIN_CHECK_S = 0.05
+DRAIN_GRACE_S = 1.0
+YOUNG_THRESHOLD = 20_000
+MIDDLE_THRESHOLD = 50
+OLD_THRESHOLD = 1000
+
+
+def _tame_collector() -> None:
+    """Keep the start-up objects out of the collector and collect rarely."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_THRESHOLD, MIDDLE_THRESHOLD, OLD_THRESHOLD)
+
+
+async def run_daemon(settings: Settings) -> None:
+    """Run a node until SIGTERM or SIGINT, then drain it."""
+    with open_shutdown_signal() as shutdown:
+        await _run_until(shutdown, settings)
+
+
+async def _run_until(shutdown, settings: Settings) -> None:
+    async with open_node(settings) as node:
+        acceptor = await _start(node)
+        _tame_collector()
+        log.info("node started", version=__version__)
+        await shutdown.recv(1)
+        log.info("node draining", in_flight=node.proxy.in_flight)
+        await _drain(node, acceptor)
+        log.info("node stopped", in_flight=node.proxy.in_flight)
+
+
+async def _start(node: Node) -> curio.Task:
+    """Start every role; return the task that accepts callers."""
+    settings, scope = node.settings, node.scope
+    admin = AdminPort(node)
+
+    async def serve_admin(sock):
+        await serve_http(sock, admin.handle)
+
+    caller_listener = open_listener(settings.caller_address)
+    link_listener = open_listener(settings.link_address)
+    admin_listener = open_listener(settings.admin_address)
+    await scope.spawn_role(node.membership.run, scope)
+    await scope.spawn_role(accept_connections, link_listener, scope, node.links.serve)
+    await scope.spawn_role(accept_connections, admin_listener, scope, serve_admin)
+    await scope.spawn_role(node.relay.run, scope)
+    await scope.spawn_role(node.run_housekeeping)
+    await scope.spawn(node.learn)
+    return await scope.spawn_role(
+        accept_connections, caller_listener, scope, node.proxy.serve
+    )
+
+
+async def _drain(node: Node, acceptor: curio.Task) -> None:
+    """Leave the mesh, then finish what is in flight within the time allowed."""
+    node.is_draining = True
+    deadline_s = time.monotonic() + node.settings.drain_timeout_s
+    await node.leave()
+    await acceptor.cancel()
+    # Callers with kept connections learn from their next answer that it ends.
+    await curio.sleep(min(DRAIN_GRACE_S, node.settings.drain_timeout_s))
+    while time.monotonic() < deadline_s and _work_in_flight(node):
+        await curio.sleep(DRAIN_CHECK_S)
+
+
+def _work_in_flight(node: Node) -> int:
+    admitted = sum(front.admission.in_flight for front in node.fronts.values())
+    return node.proxy.in_flight + admitted
+
+
+@click.command(context_settings={"auto_envvar_prefix": "GUAVAGAP"})
+@daemon_options
+def main(**options):
+    """Run one node. The mesh key is read from GUAVAGAP_MESH_KEY only."""
+    settings = settings_from_options(options)
+    configure_logs(settings.log_level, settings.node_id)
+    curio.run(run_daemon, settings)
+
+
+def run() -> None:
+    """Entry point: one line and exit code 2 for a bad setting."""
+    try:
+        main(standalone_mode=False)
+    except click.UsageError as error:
+        print(f"guavagapd: {_usage_line(error)}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    except GuavagapError as error:
+        print(f"guavagapd: {error.detail}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    except click.Abort:
+        pass
+    sys.exit(EXIT_DONE)
+
+
+def _usage_line(error: click.UsageError) -> str:
+    return " ".join(error.format_message().split())
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/guavagap/datagrams.py
@@ -0,0 +1,74 @@
+"""Authenticated datagrams (plumbing).
+
+A datagram is a 16-byte keyed BLAKE2b code followed by the packed message. A
+sender numbers its datagrams within a random session; a receiver takes each
+number of a session once, so a replayed datagram is dropped. A replay from a
+session that the receiver has never seen carries only rows whose incarnations
+have been superseded, and is harmless.
+"""
+
+import hashlib
+import hmac
+from collections import OrderedDict
+
+from guavagap.codec import decode_datagram, encode_datagram
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.messages import Datagram
+
+__all__ = ["MAC_BYTES", "MAX_DATAGRAM_BYTES", "ReplayWindow", "open_datagram", "seal"]
+
+MAC_BYTES = 16
+MAX_DATAGRAM_BYTES = 1400
+WINDOW_SEQUENCES = 256
+MAX_SESSIONS = 4096
+
+
+def _mac(key_bytes: bytes, body: bytes) -> bytes:
+    return hashlib.blake2b(
+        body, key=key_bytes, digest_size=MAC_BYTES, person=b"datagram"
+    ).digest()
+
+
+def seal(key_bytes: bytes, datagram: Datagram) -> bytes:
+    """Return the bytes to send."""
+    body = encode_datagram(datagram)
+    return _mac(key_bytes, body) + body
+
+
+def open_datagram(key_bytes: bytes, packet: bytes) -> Datagram:
+    """Return the datagram of a received packet.
+
+    Raises:
+        GuavagapError: AUTHENTICATION_FAILED for another key or changed bytes,
+            FRAME_INVALID for a body that does not decode.
+    """
+    mac, body = packet[:MAC_BYTES], packet[MAC_BYTES:]
+    if not hmac.compare_digest(mac, _mac(key_bytes, body)):
+        raise GuavagapError(
+            ErrorKind.AUTHENTICATION_FAILED, "a datagram with a wrong code"
+        )
+    return decode_datagram(body)
+
+
+class ReplayWindow:
+    """Accepts each sequence number of each session once."""
+
+    def __init__(self):
+        self._sessions: OrderedDict[int, tuple[int, int]] = OrderedDict()
+
+    def accept(self, session: int, sequence: int) -> bool:
+        """Return False for a number seen before or too old to tell."""
+        highest, seen_bits = self._sessions.pop(session, (-1, 0))
+        is_new = True
+        if sequence > highest:
+            seen_bits = (seen_bits << (sequence - highest)) | 1
+            seen_bits &= (1 << WINDOW_SEQUENCES) - 1
+            highest = sequence
+        else:
+            bit = 1 << (highest - sequence)
+            is_new = highest - sequence < WINDOW_SEQUENCES and not seen_bits & bit
+            seen_bits |= bit if is_new else 0
+        self._sessions[session] = (highest, seen_bits)
+        if len(self._sessions) > MAX_SESSIONS:
+            self._sessions.popitem(last=False)
+        return is_new
--- /dev/null
+++ b/guavagap/direct.py
@@ -0,0 +1,167 @@
+"""Direct connections to backend servers on other VMs, held by permit.
+
+One task per owner node renews the permits for all of its backend servers. A
+permit ends by itself: its time is measured from before the request for it.
+"""
+
+import time
+
+import curio
+
+from guavagap.addresses import parse_address
+from guavagap.backend_connections import BackendConnectionPool, BackendExchange
+from guavagap.directory import Target
+from guavagap.errors import GuavagapError
+from guavagap.links import LinkPool
+from guavagap.logs import get_logger
+from guavagap.messages import PermitDemand, PermitRequest
+from guavagap.tasks import TaskScope
+
+__all__ = ["DirectConnections"]
+
+log = get_logger()
+
+MAX_WANTED = 8
+IDLE_AFTER_S = 10.0
+RENEWALS_PER_TTL = 3
+RETRY_S = 1.0
+
+
+class _PermittedPool:
+    """Connections to one backend server and the permit that covers them."""
+
+    def __init__(self, target: Target):
+        self.node_id = target.node_id
+        self.server_id = target.server.server_id
+        self.connections = BackendConnectionPool(parse_address(target.server.address))
+        self.granted = 0
+        self.expires_at_s = 0.0
+        self.last_used_s = 0.0
+        self.peak_in_use = 1
+
+    def has_permit(self) -> bool:
+        return self.granted > 0 and time.monotonic() < self.expires_at_s
+
+    def may_keep(self) -> bool:
+        return self.has_permit() and self.connections.open_count <= self.granted
+
+    async def take(self):
+        """Return a connection under the permit, or None."""
+        self.last_used_s = time.monotonic()
+        in_use = self.connections.open_count - self.connections.idle_count
+        self.peak_in_use = max(self.peak_in_use, in_use + 1)
+        if not self.has_permit():
+            return None
+        connection = await self.connections.take_idle()
+        if connection is not None:
+            return connection
+        if self.connections.open_count >= self.granted:
+            return None
+        return await self.connections.connect()
+
+
+class DirectConnections:
+    """Direct connections of one ingress node.
+
+    Args:
+        links: links to owner nodes.
+        scope: owns one renewing task per owner node.
+    """
+
+    def __init__(self, links: LinkPool, scope: TaskScope):
+        self._links = links
+        self._scope = scope
+        self._pools: dict[str, _PermittedPool] = {}
+        self._renewing: set[str] = set()
+
+    async def take(self, target: Target) -> BackendExchange | None:
+        """Return an exchange on a direct connection, or None without a permit.
+
+        Raises:
+            GuavagapError: CONNECT_FAILED.
+        """
+        pool = self._pools.get(target.server.server_id)
+        if pool is None:
+            pool = self._pools[target.server.server_id] = _PermittedPool(target)
+        if target.node_id not in self._renewing:
+            self._renewing.add(target.node_id)
+            await self._scope.spawn(self._renew_forever, target.node_id)
+        connection = await pool.take()
+        if connection is None:
+            return None
+        return BackendExchange(connection, pool.connections, pool.may_keep)
+
+    async def revoke(self, server_id: str) -> None:
+        """Stop using the permit for a backend server at once."""
+        pool = self._pools.get(server_id)
+        if pool is not None:
+            pool.granted = 0
+            await pool.connections.close_idle()
+
+    def open_count(self) -> int:
+        """Return how many direct connections are open."""
+        return sum(pool.connections.open_count for pool in self._pools.values())
+
+    async def _renew_forever(self, node_id: str) -> None:
+        """Renew the permits from one owner node while any is in use."""
+        try:
+            while True:
+                pools = await self._drop_unused(node_id)
+                if not pools:
+                    return
+                wait_s = await self._renew_once(node_id, pools)
+                await curio.sleep(wait_s)
+        finally:
+            self._renewing.discard(node_id)
+            for pool in self._pools_of(node_id):
+                pool.granted = 0
+                await pool.connections.close_idle()
+
+    def _pools_of(self, node_id: str) -> list[_PermittedPool]:
+        return [pool for pool in self._pools.values() if pool.node_id == node_id]
+
+    async def _drop_unused(self, node_id: str) -> list[_PermittedPool]:
+        """Return the pools in use; give up the others' permits."""
+        now_s = time.monotonic()
+        used = []
+        for pool in self._pools_of(node_id):
+            if now_s - pool.last_used_s <= IDLE_AFTER_S:
+                used.append(pool)
+                continue
+            pool.granted = 0
+            await pool.connections.close_idle()
+            if not pool.connections.open_count:
+                del self._pools[pool.server_id]
+        return used
+
+    async def _renew_once(self, node_id: str, pools: list[_PermittedPool]) -> float:
+        """Ask for permits; return how long to wait before asking again."""
+        demands = []
+        for pool in pools:
+            wanted = min(MAX_WANTED, pool.peak_in_use)
+            pool.peak_in_use = 1
+            held = pool.connections.open_count
+            demands.append(PermitDemand(pool.server_id, wanted, held))
+        asked_at_s = time.monotonic()
+        try:
+            link = await self._links.get(node_id)
+            reply = await link.call(PermitRequest(0, tuple(demands)))
+        except GuavagapError as error:
+            log.info("permits not renewed", owner=node_id, why=str(error))
+            await self._close_expired(pools)
+            return RETRY_S
+        ttl_s = RETRY_S * RENEWALS_PER_TTL
+        for grant in reply.grants:
+            pool = self._pools.get(grant.server_id)
+            if pool is None:
+                continue
+            ttl_s = grant.ttl_ms / 1000
+            pool.granted = grant.granted
+            pool.expires_at_s = asked_at_s + ttl_s
+        await self._close_expired(pools)
+        return ttl_s / RENEWALS_PER_TTL
+
+    async def _close_expired(self, pools: list[_PermittedPool]) -> None:
+        for pool in pools:
+            if not pool.may_keep():
+                await pool.connections.close_idle()
--- /dev/null
+++ b/guavagap/directory.py
@@ -0,0 +1,174 @@
+"""The directory of backend servers, built from the member table.
+
+Rows are immutable and rebuilt when members change; what this node has learned
+of a backend server from its own requests is kept beside them.
+"""
+
+import time
+from typing import NamedTuple
+
+from guavagap.members import MemberTable
+from guavagap.messages import BackendServer, MemberState
+
+__all__ = ["Directory", "ServerHealth", "Target"]
+
+SLOW_START_S = 10.0
+SLOW_START_MIN_FACTOR = 0.1
+REPORT_LIFETIME_S = 1.0
+EJECT_AFTER_FAILURES = 5
+EJECT_AFTER_UNREACHABLE = 2
+EJECT_FIRST_S = 2.0
+EJECT_LIMIT_S = 30.0
+
+
+class ServerHealth:
+    """What this node's own requests show of one backend server.
+
+    Attributes:
+        in_flight: requests of this node in flight there.
+        reported_in_flight: load stamped on its latest answer.
+        consecutive_failures: failures since the latest success.
+        ejected_until_s: monotonic time until which it is not chosen.
+    """
+
+    __slots__ = (
+        "in_flight",
+        "reported_in_flight",
+        "reported_at_s",
+        "consecutive_failures",
+        "ejected_until_s",
+        "ejections",
+        "first_seen_s",
+        "is_warm",
+    )
+
+    def __init__(self, now_s: float, is_warm: bool):
+        self.in_flight = 0
+        self.reported_in_flight = 0
+        self.reported_at_s = 0.0
+        self.consecutive_failures = 0
+        self.ejected_until_s = 0.0
+        self.ejections = 0
+        self.first_seen_s = now_s
+        self.is_warm = is_warm
+
+    def note_load(self, in_flight: int, now_s: float) -> None:
+        """Take the load that a backend server has stamped on an answer."""
+        self.reported_in_flight = in_flight
+        self.reported_at_s = now_s
+
+    def note_success(self) -> None:
+        """Take a successful request."""
+        self.consecutive_failures = 0
+        self.ejections = 0
+
+    def note_failure(self, now_s: float, is_unreachable: bool) -> None:
+        """Take a failed request; eject after several in a row."""
+        self.consecutive_failures += 1
+        limit = EJECT_AFTER_UNREACHABLE if is_unreachable else EJECT_AFTER_FAILURES
+        if self.consecutive_failures < limit:
+            return
+        duration_s = min(EJECT_LIMIT_S, EJECT_FIRST_S * 2**self.ejections)
+        self.ejected_until_s = now_s + duration_s
+        self.ejections += 1
+        self.consecutive_failures = 0
+
+    def load(self, now_s: float) -> int:
+        """Return the best estimate of requests in flight there."""
+        if now_s - self.reported_at_s > REPORT_LIFETIME_S:
+            return self.in_flight
+        return max(self.in_flight, self.reported_in_flight)
+
+    def slow_start_factor(self, now_s: float) -> float:
+        """Return the share of its capacity that a new backend server is given."""
+        if self.is_warm:
+            return 1.0
+        age_s = now_s - self.first_seen_s
+        if age_s >= SLOW_START_S:
+            self.is_warm = True
+            return 1.0
+        return max(SLOW_START_MIN_FACTOR, age_s / SLOW_START_S)
+
+
+class Target(NamedTuple):
+    """A backend server that requests may be sent to."""
+
+    server: BackendServer
+    node_id: str
+    region: str
+    failure_domain: str
+    is_suspect: bool
+    health: ServerHealth
+
+
+class Directory:
+    """Targets by service, pool and version.
+
+    Args:
+        table: the member table.
+    """
+
+    def __init__(self, table: MemberTable):
+        self._table = table
+        self._built_version = -1
+        self._targets: dict[tuple[str, str, str], tuple[Target, ...]] = {}
+        self._by_id: dict[str, Target] = {}
+        self._health: dict[str, ServerHealth] = {}
+        self._is_first_build = True
+
+    def targets(self, service: str, pool: str, version: str) -> tuple[Target, ...]:
+        """Return the targets of one version, draining ones excluded."""
+        self.refresh()
+        return self._targets.get((service, pool, version), ())
+
+    def versions(self, service: str, pool: str) -> list[str]:
+        """Return the versions that have targets."""
+        self.refresh()
+        return sorted(
+            key[2] for key in self._targets if key[0] == service and key[1] == pool
+        )
+
+    def get(self, server_id: str) -> Target | None:
+        """Return a target by its backend server's identifier."""
+        self.refresh()
+        return self._by_id.get(server_id)
+
+    def all_targets(self) -> list[Target]:
+        """Return every target."""
+        self.refresh()
+        return list(self._by_id.values())
+
+    def refresh(self) -> None:
+        """Rebuild if the member table has changed."""
+        if self._built_version == self._table.version:
+            return
+        self._built_version = self._table.version
+        now_s = time.monotonic()
+        targets: dict[tuple[str, str, str], list[Target]] = {}
+        by_id: dict[str, Target] = {}
+        for row in self._table.rows():
+            if not self._table.is_usable(row):
+                continue
+            for server in row.backend_servers:
+                if server.is_draining:
+                    continue
+                target = self._make_target(row, server, now_s)
+                by_id[server.server_id] = target
+                key = (server.service, server.pool, server.version)
+                targets.setdefault(key, []).append(target)
+        self._targets = {key: tuple(value) for key, value in targets.items()}
+        self._by_id = by_id
+        self._health = {
+            key: value for key, value in self._health.items() if key in by_id
+        }
+        self._is_first_build = False
+
+    def _make_target(self, row, server: BackendServer, now_s: float) -> Target:
+        health = self._health.get(server.server_id)
+        if health is None:
+            health = ServerHealth(now_s, is_warm=self._is_first_build)
+            self._health[server.server_id] = health
+        is_suspect = row.state == MemberState.SUSPECT
+        return Target(
+            server, row.node_id, row.region, row.failure_domain, is_suspect, health
+        )
--- /dev/null
+++ b/guavagap/dissemination.py
@@ -0,0 +1,247 @@
+"""Spreading configuration between nodes: push, fetch and serve.
+
+A relay pushes each delta down a fan-out tree over its failure domain. What a
+push misses is noticed by the epoch on membership datagrams and fetched from the
+node that has it. A node that learns an epoch by fetching it passes it on to a
+few random members, so one contact brings a failure domain up to date.
+"""
+
+import random
+import zlib
+from collections import Counter
+
+import curio
+
+from guavagap.backoff import Backoff
+from guavagap.configuration import Configuration
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.head import Delta, decode_delta, encode_delta
+from guavagap.links import LinkPool
+from guavagap.logs import get_logger
+from guavagap.members import MemberTable
+from guavagap.messages import DeltaPush, DeltaReply, DeltaRequest, MemberState
+from guavagap.rendezvous import rendezvous_order
+from guavagap.tasks import TaskScope
+
+__all__ = ["Disseminator", "push_children"]
+
+log = get_logger()
+
+FAN_OUT = 4
+RUMOUR_FAN_OUT = 2
+PUSH_TIMEOUT_S = 2.0
+MAX_DELTA_BYTES = 32 * 1024 * 1024
+LARGE_DELTA_BYTES = 65_536
+MAX_LARGE_DELTAS_SERVED = 2
+MAX_REDIRECTS = 4
+MAX_FETCH_ATTEMPTS = 6
+FETCH_BACKOFF_FIRST_S = 0.1
+FETCH_BACKOFF_LIMIT_S = 3.0
+COMPRESSION_LEVEL = 6
+
+
+def push_children(
+    root_id: str, own_id: str, epoch: int, member_ids: list[str]
+) -> list[str]:
+    """Return whom a node passes a push on to.
+
+    The tree over the members is ordered by a hash of root and epoch, so the
+    inner places change with each epoch.
+    """
+    others = [node_id for node_id in member_ids if node_id != root_id]
+    order = rendezvous_order(f"{root_id}/{epoch}", others, str)
+    order.insert(0, root_id)
+    if own_id not in order:
+        return []
+    first = order.index(own_id) * FAN_OUT + 1
+    return order[first : first + FAN_OUT]
+
+
+class Disseminator:
+    """Moves deltas between this node and others.
+
+    Args:
+        configuration: where deltas are applied.
+        table: the member table.
+        links: links to other nodes.
+        scope: owns the tasks that push and fetch.
+
+    Attributes:
+        highest_epoch_seen: the highest epoch that any node has shown.
+        split_epochs: epochs that another node holds with other content.
+        counts: applied and served deltas by way.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        table: MemberTable,
+        links: LinkPool,
+        scope: TaskScope,
+    ):
+        self.highest_epoch_seen = 0
+        self.split_epochs: set[int] = set()
+        self.counts: Counter[str] = Counter()
+        self._configuration = configuration
+        self._table = table
+        self._links = links
+        self._scope = scope
+        self._is_fetching = False
+        self._large_served = 0
+
+    async def on_epoch_seen(self, node_id: str, epoch: int, head_digest: int) -> None:
+        """Compare another node's epoch with the own one and fetch if it is higher."""
+        self.highest_epoch_seen = max(self.highest_epoch_seen, epoch)
+        own_epoch = self._configuration.epoch
+        if epoch == own_epoch and head_digest != self.short_digest():
+            self._note_split(node_id, epoch)
+        if epoch > own_epoch and not self._is_fetching:
+            self._is_fetching = True
+            await self._scope.spawn(self._fetch, node_id)
+
+    def short_digest(self) -> int:
+        """Return the first 64 bits of the digest of the epoch applied."""
+        return int(self._configuration.head_digest[:16], 16)
+
+    def _note_split(self, node_id: str, epoch: int) -> None:
+        if epoch in self.split_epochs:
+            return
+        self.split_epochs.add(epoch)
+        log.error("epoch has two contents", epoch=epoch, other=node_id)
+
+    async def _fetch(self, node_id: str) -> None:
+        backoff = Backoff(FETCH_BACKOFF_FIRST_S, FETCH_BACKOFF_LIMIT_S)
+        candidates = [node_id]
+        try:
+            for _ in range(MAX_FETCH_ATTEMPTS):
+                reply = await self._request_delta(random.choice(candidates))
+                if reply is not None and not reply.is_busy:
+                    await self._take_reply(reply)
+                    return
+                if reply is not None:
+                    candidates = [node_id, *reply.redirect_ids]
+                await curio.sleep(backoff.next_s())
+        finally:
+            self._is_fetching = False
+
+    async def _request_delta(self, node_id: str) -> DeltaReply | None:
+        try:
+            link = await self._links.get(node_id)
+            return await link.call(DeltaRequest(0, self._configuration.epoch))
+        except GuavagapError as error:
+            log.info("fetch failed", peer=node_id, why=str(error))
+            return None
+
+    async def _take_reply(self, reply: DeltaReply) -> None:
+        delta = unpack_delta(reply.compressed, reply.raw_bytes)
+        if not self._configuration.apply(delta):
+            return
+        self.counts["fetched"] += 1
+        members = [row.node_id for row in self._table.others(MemberState.ALIVE)]
+        targets = random.sample(members, min(RUMOUR_FAN_OUT, len(members)))
+        await self._push_to(targets, delta, root_id="")
+
+    async def push_from_here(self, delta: Delta) -> None:
+        """Push a delta that this node has just applied, as the root."""
+        await self._push_to(
+            self._children(self._table.own.node_id, delta.epoch),
+            delta,
+            self._table.own.node_id,
+        )
+
+    def _children(self, root_id: str, epoch: int) -> list[str]:
+        own = self._table.own
+        members = self._table.alive_in_domain(own.failure_domain)
+        member_ids = [row.node_id for row in members]
+        return push_children(root_id, own.node_id, epoch, member_ids)
+
+    async def _push_to(self, node_ids: list[str], delta: Delta, root_id: str) -> None:
+        raw = encode_delta(delta)
+        compressed = zlib.compress(raw, COMPRESSION_LEVEL)
+        message = DeltaPush(
+            compressed, len(raw), root_id, delta.base_epoch, delta.epoch
+        )
+        for node_id in node_ids:
+            await self._scope.spawn(self._push_one, node_id, message)
+
+    async def _push_one(self, node_id: str, message: DeltaPush) -> None:
+        try:
+            async with curio.timeout_after(PUSH_TIMEOUT_S):
+                link = await self._links.get(node_id)
+                await link.send(message)
+        except (GuavagapError, curio.TaskTimeout) as error:
+            self.counts["push_failed"] += 1
+            log.info("push failed", peer=node_id, why=repr(error))
+
+    async def on_push(self, sender_id: str, message: DeltaPush) -> None:
+        """Apply a pushed delta and pass it on."""
+        if message.epoch <= self._configuration.epoch:
+            self.counts["push_duplicate"] += 1
+            return
+        delta = unpack_delta(message.compressed, message.raw_bytes)
+        if delta.base_epoch not in (0, self._configuration.epoch):
+            self.counts["push_gap"] += 1
+            await self.on_epoch_seen(sender_id, delta.epoch, 0)
+            return
+        if not self._configuration.apply(delta):
+            return
+        self.counts["pushed"] += 1
+        if message.root_id:
+            targets = self._children(message.root_id, delta.epoch)
+        else:
+            members = [row.node_id for row in self._table.others(MemberState.ALIVE)]
+            targets = random.sample(members, min(RUMOUR_FAN_OUT, len(members)))
+        for node_id in targets:
+            await self._scope.spawn(self._push_one, node_id, message)
+
+    async def serve(self, request: DeltaRequest) -> DeltaReply:
+        """Answer a request, or name other nodes when too many are served."""
+        delta = self._configuration.delta_since(request.base_epoch)
+        raw = encode_delta(delta)
+        is_large = len(raw) > LARGE_DELTA_BYTES
+        if is_large and self._large_served >= MAX_LARGE_DELTAS_SERVED:
+            self.counts["busy"] += 1
+            return DeltaReply(request.call_id, True, b"", 0, self._other_holders())
+        self.counts["served"] += 1
+        return DeltaReply(
+            request.call_id,
+            False,
+            zlib.compress(raw, COMPRESSION_LEVEL),
+            len(raw),
+        )
+
+    async def send_reply(self, link, request: DeltaRequest) -> None:
+        """Serve a request on its link, counting large replies in progress."""
+        reply = await self.serve(request)
+        is_large = reply.raw_bytes > LARGE_DELTA_BYTES
+        self._large_served += is_large
+        try:
+            await link.send(reply)
+        finally:
+            self._large_served -= is_large
+
+    def _other_holders(self) -> tuple[str, ...]:
+        own_domain = self._table.own.failure_domain
+        near = [
+            row.node_id
+            for row in self._table.others(MemberState.ALIVE)
+            if row.failure_domain == own_domain
+        ]
+        return tuple(random.sample(near, min(MAX_REDIRECTS, len(near))))
+
+
+def unpack_delta(compressed: bytes, raw_bytes: int) -> Delta:
+    """Return a delta from its compressed form.
+
+    Raises:
+        GuavagapError: FRAME_INVALID, also when it is larger than declared.
+    """
+    if raw_bytes > MAX_DELTA_BYTES:
+        raise GuavagapError(ErrorKind.FRAME_INVALID, f"a delta of {raw_bytes} bytes")
+    try:
+        raw = zlib.decompressobj().decompress(compressed, raw_bytes + 1)
+    except zlib.error as error:
+        raise GuavagapError(ErrorKind.FRAME_INVALID, str(error)) from None
+    if len(raw) != raw_bytes:
+        raise GuavagapError(ErrorKind.FRAME_INVALID, "a delta of another size")
+    return decode_delta(raw)
--- /dev/null
+++ b/guavagap/documents.py
@@ -0,0 +1,260 @@
+"""Service documents: schema, decoding and validation.
+
+A document is a TOML file. Its decoded form, a :class:`Document`, is stored in
+the platform and sent between nodes as canonical JSON.
+"""
+
+import hashlib
+import json
+import tomllib
+from datetime import datetime, timezone
+from typing import Annotated, Literal, NamedTuple, NotRequired
+
+from expression import Error, Ok, Result
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from typing_extensions import TypedDict
+
+__all__ = [
+    "Document",
+    "MAX_DOCUMENT_BYTES",
+    "Pool",
+    "Problem",
+    "Route",
+    "WantedVersion",
+    "check_document",
+    "decode_document",
+    "digest_of",
+    "encode_document",
+    "parse_document",
+    "route_matches_overlap",
+]
+
+MAX_DOCUMENT_BYTES = 65_536
+
+_STRICT = ConfigDict(extra="forbid", strict=True)
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?$")]
+VersionName = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+HostName = Annotated[str, Field(pattern=r"^(\*|[a-z0-9]([a-z0-9.-]{0,252}[a-z0-9])?)$")]
+PathPrefix = Annotated[str, Field(pattern=r"^/[^?#\s]*$", max_length=512)]
+Method = Literal["GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"]
+Timestamp = Annotated[
+    str, Field(pattern=r"^\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?(Z|[+-]\d\d:\d\d)$")
+]
+
+
+class Pool(TypedDict):
+    """Backend servers of the service that announce the same pool name.
+
+    Attributes:
+        name: the pool's name, as announced.
+        min_available_share: below this share of healthy backend servers the
+            health observations are ignored.
+        max_in_flight: limit of requests in flight to one backend server; the
+            announced slots apply when it is absent.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    name: Name
+    min_available_share: NotRequired[Annotated[float, Field(ge=0, le=1)]]
+    max_in_flight: NotRequired[Annotated[int, Field(ge=1, le=1000)]]
+
+
+class Route(TypedDict):
+    """Which requests belong to the service, and how they are treated.
+
+    Attributes:
+        name: unique within the document.
+        host: the Host header without port, or ``*``.
+        path_prefix: matches whole path segments.
+        methods: absent for every method.
+        is_idempotent: whether a request may safely run more than once.
+        timeout_s: deadline of a request, from its head to its whole answer.
+        retry_share: retries allowed as a share of recent successes.
+        sticky_header: requests with an equal value of this header get the same
+            backend server version during a rollout.
+        pool: name of a pool of this document.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    name: Name
+    host: HostName
+    path_prefix: PathPrefix
+    methods: NotRequired[Annotated[list[Method], Field(min_length=1)]]
+    is_idempotent: bool
+    timeout_s: Annotated[float, Field(gt=0, le=600)]
+    retry_share: NotRequired[Annotated[float, Field(ge=0, le=0.5)]]
+    sticky_header: NotRequired[Annotated[str, Field(pattern=r"^[a-z0-9-]{1,64}$")]]
+    pool: Name
+
+
+class WantedVersion(TypedDict):
+    """The backend server version that should carry all traffic.
+
+    Attributes:
+        backend_server_version: the version, as backend servers announce it.
+        complete_by: RFC 3339 time at which it should carry all traffic.
+        state: ``run``, ``pause`` (weight stays) or ``abort`` (weight to zero).
+    """
+
+    __pydantic_config__ = _STRICT
+
+    backend_server_version: VersionName
+    complete_by: Timestamp
+    state: NotRequired[Literal["run", "pause", "abort"]]
+
+
+class Document(TypedDict):
+    """Everything a team declares about its service.
+
+    Attributes:
+        service: the service's name, unique in the mesh.
+        owner: who answers for it.
+        edited_from: version of the document that this edit started from; 0 for
+            the first.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    service: Name
+    owner: Annotated[str, Field(min_length=1, max_length=200)]
+    edited_from: Annotated[int, Field(ge=0)]
+    wanted: WantedVersion
+    pools: Annotated[list[Pool], Field(min_length=1, max_length=32)]
+    routes: Annotated[list[Route], Field(min_length=1, max_length=128)]
+
+
+class Problem(NamedTuple):
+    """One reason why a document is refused.
+
+    Attributes:
+        file: the file, or the service where there is no file.
+        path: path within the document, such as ``routes[0].timeout_s``.
+        reason: what is wrong and what is allowed.
+    """
+
+    file: str
+    path: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.path or 'document'}: {self.reason}"
+
+
+_ADAPTER = TypeAdapter(Document)
+
+
+def _format_path(location: tuple) -> str:
+    path = ""
+    for part in location:
+        path += f"[{part}]" if isinstance(part, int) else f".{part}"
+    return path.removeprefix(".")
+
+
+def _duplicate_problems(file: str, path: str, names: list[str]) -> list[Problem]:
+    return [
+        Problem(file, f"{path}[{index}].name", f"{name!r} is used twice")
+        for index, name in enumerate(names)
+        if name in names[:index]
+    ]
+
+
+def _cross_problems(document: Document, file: str) -> list[Problem]:
+    pool_names = [pool["name"] for pool in document["pools"]]
+    route_names = [route["name"] for route in document["routes"]]
+    problems = _duplicate_problems(file, "pools", pool_names)
+    problems += _duplicate_problems(file, "routes", route_names)
+    for index, route in enumerate(document["routes"]):
+        if route["pool"] not in pool_names:
+            reason = f"no pool {route['pool']!r}; pools are {', '.join(pool_names)}"
+            problems.append(Problem(file, f"routes[{index}].pool", reason))
+        for earlier in range(index):
+            if route_matches_overlap(route, document["routes"][earlier]):
+                reason = f"matches the same requests as routes[{earlier}]"
+                problems.append(Problem(file, f"routes[{index}]", reason))
+    try:
+        datetime.fromisoformat(document["wanted"]["complete_by"])
+    except ValueError as error:
+        problems.append(Problem(file, "wanted.complete_by", str(error)))
+    return problems
+
+
+def route_matches_overlap(first: Route, second: Route) -> bool:
+    """Return whether two routes claim the same host, path prefix and a method."""
+    if first["host"] != second["host"]:
+        return False
+    if first["path_prefix"].rstrip("/") != second["path_prefix"].rstrip("/"):
+        return False
+    if "methods" not in first or "methods" not in second:
+        return "methods" not in first and "methods" not in second
+    return bool(set(first["methods"]) & set(second["methods"]))
+
+
+def check_document(value: object, file: str) -> Result[Document, list[Problem]]:
+    """Validate a decoded document.
+
+    Args:
+        value: the decoded TOML or JSON.
+        file: named in each problem.
+
+    Returns:
+        The document, or every problem found in it.
+    """
+    try:
+        document = _ADAPTER.validate_python(value)
+    except ValidationError as error:
+        return Error(
+            [
+                Problem(file, _format_path(item["loc"]), item["msg"])
+                for item in error.errors(include_url=False, include_context=False)
+            ]
+        )
+    problems = _cross_problems(document, file)
+    size_bytes = len(encode_document(document))
+    if size_bytes > MAX_DOCUMENT_BYTES:
+        reason = f"{size_bytes} bytes, allowed are {MAX_DOCUMENT_BYTES}"
+        problems.append(Problem(file, "", reason))
+    return Error(problems) if problems else Ok(document)
+
+
+def _plain_times(value: object) -> object:
+    """Replace TOML dates by RFC 3339 text."""
+    if isinstance(value, datetime):
+        if value.tzinfo is None:
+            return value.isoformat()
+        return value.astimezone(timezone.utc).isoformat().replace("+00:00", "Z")
+    if isinstance(value, dict):
+        return {name: _plain_times(item) for name, item in value.items()}
+    if isinstance(value, list):
+        return [_plain_times(item) for item in value]
+    return value
+
+
+def parse_document(text: str, file: str) -> Result[Document, list[Problem]]:
+    """Decode and validate the TOML text of a document."""
+    try:
+        value = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Error([Problem(file, "", f"not TOML: {error}")])
+    return check_document(_plain_times(value), file)
+
+
+def encode_document(document: Document) -> bytes:
+    """Return the canonical JSON of a document."""
+    return json.dumps(document, sort_keys=True, separators=(",", ":")).encode()
+
+
+def decode_document(body: bytes, file: str) -> Result[Document, list[Problem]]:
+    """Decode and validate canonical JSON."""
+    try:
+        value = json.loads(body)
+    except ValueError as error:
+        return Error([Problem(file, "", f"not JSON: {error}")])
+    return check_document(value, file)
+
+
+def digest_of(body: bytes) -> str:
+    """Return the digest by which a body is stored and checked."""
+    return hashlib.blake2b(body, digest_size=16).hexdigest()
--- /dev/null
+++ b/guavagap/forwarding.py
@@ -0,0 +1,178 @@
+"""Forwarded requests: an exchange whose other end is a stream of a link."""
+
+import time
+
+from guavagap.errors import ErrorKind, GuavagapError, answer_for
+from guavagap.exchange import AnswerHead, Downstream, ForwardedRequest, Upstream
+from guavagap.messages import (
+    Header,
+    OpenStream,
+    StreamAnswer,
+    StreamReset,
+)
+from guavagap.streams import MAX_CHUNK_BYTES, Stream
+
+__all__ = ["StreamDownstream", "StreamExchange", "request_from_open_stream"]
+
+
+def _raise_reset(reset: StreamReset) -> None:
+    try:
+        kind = ErrorKind(reset.kind)
+    except ValueError:
+        kind = ErrorKind.LINK_LOST
+    if reset.is_not_run and not answer_for(kind).is_not_run:
+        kind = ErrorKind.LINK_UNREACHABLE
+    raise GuavagapError(kind, reset.detail)
+
+
+class StreamExchange(Upstream):
+    """One request sent over a link to the node beside its backend server.
+
+    Args:
+        stream: a new stream, closed at the end.
+        server_id: the backend server that should run it.
+    """
+
+    def __init__(self, stream: Stream, server_id: str):
+        self._stream = stream
+        self._server_id = server_id
+
+    async def send_request(self, request: ForwardedRequest, chunks, is_complete):
+        timeout_ms = max(0, int((request.deadline_s - time.monotonic()) * 1000))
+        body = b"".join(chunks)
+        first = body[:MAX_CHUNK_BYTES]
+        is_whole = is_complete and len(first) == len(body)
+        length = request.content_length_bytes
+        headers = list(request.headers)
+        if request.has_body and length is None:
+            headers.append((b"transfer-encoding", b"chunked"))
+        message = OpenStream(
+            self._stream.stream_id,
+            self._server_id,
+            request.method,
+            request.target,
+            tuple(Header(*header) for header in headers),
+            timeout_ms,
+            first,
+            is_whole,
+            request.is_idempotent,
+            request.idempotency_key,
+        )
+        await self._stream.take_credit(len(first))
+        self.is_written = True
+        await self._stream.link.send(message)
+        if not is_whole and len(body) > len(first):
+            await self._stream.send_body(body[len(first) :], is_complete)
+
+    async def send_body(self, chunk):
+        await self._stream.send_body(chunk or b"", chunk is None)
+
+    def has_early_answer(self):
+        return self._stream.has_message()
+
+    async def read_answer(self):
+        message = await self._stream.receive()
+        if isinstance(message, StreamReset):
+            _raise_reset(message)
+        if not isinstance(message, StreamAnswer):
+            raise GuavagapError(ErrorKind.FRAME_INVALID, "body before an answer")
+        await self._stream.consumed(len(message.body))
+        return AnswerHead(
+            message.status,
+            [tuple(header) for header in message.headers],
+            [message.body] if message.body else [],
+            message.is_complete,
+        )
+
+    async def read_chunks(self):
+        message = await self._stream.receive()
+        if isinstance(message, StreamReset):
+            raise GuavagapError(ErrorKind.BODY_CUT_SHORT, message.detail)
+        await self._stream.consumed(len(message.body))
+        return [message.body], message.is_complete
+
+    async def finish(self):
+        self._stream.close()
+
+    async def abort(self):
+        self._stream.close()
+        try:
+            await self._stream.send_reset(ErrorKind.CALLER_GONE, "cancelled", False)
+        except GuavagapError:
+            # The link is gone, and the stream with it.
+            pass
+
+
+class StreamDownstream(Downstream):
+    """A forwarded request as the receiving node sees it.
+
+    Args:
+        stream: the stream that the request arrived on.
+        opening: its first frame.
+    """
+
+    def __init__(self, stream: Stream, opening: OpenStream):
+        self._is_body_ended = opening.is_complete
+        self.chunks = [opening.body] if opening.body else []
+        self.is_body_complete = opening.is_complete
+        self._stream = stream
+
+    async def read_body(self):
+        if self._is_body_ended:
+            return None
+        message = await self._stream.receive()
+        if isinstance(message, StreamReset):
+            raise GuavagapError(ErrorKind.CALLER_GONE, message.detail)
+        await self._stream.consumed(len(message.body))
+        self._is_body_ended = message.is_complete
+        if message.body:
+            return message.body
+        return await self.read_body()
+
+    async def send_answer(self, answer: AnswerHead):
+        self.is_answer_started = True
+        body = b"".join(answer.chunks)
+        first = body[:MAX_CHUNK_BYTES]
+        is_whole = answer.is_complete and len(first) == len(body)
+        await self._stream.take_credit(len(first))
+        await self._stream.link.send(
+            StreamAnswer(
+                self._stream.stream_id,
+                answer.status,
+                tuple(Header(*header) for header in answer.headers),
+                first,
+                is_whole,
+            )
+        )
+        if len(body) > len(first):
+            await self._stream.send_body(body[len(first) :], answer.is_complete)
+
+    async def send_chunks(self, chunks, is_complete):
+        await self._stream.send_body(b"".join(chunks), is_complete)
+
+    def is_gone(self):
+        return self._stream.reset is not None
+
+
+def request_from_open_stream(opening: OpenStream) -> ForwardedRequest:
+    """Return the request that a stream's first frame describes."""
+    headers = []
+    content_length_bytes = None
+    is_chunked = False
+    for name, value in opening.headers:
+        if name == b"transfer-encoding":
+            is_chunked = True
+            continue
+        if name == b"content-length":
+            content_length_bytes = int(value)
+        headers.append((name, value))
+    return ForwardedRequest(
+        opening.method,
+        opening.target,
+        headers,
+        content_length_bytes,
+        is_chunked or bool(content_length_bytes),
+        opening.is_idempotent,
+        time.monotonic() + opening.timeout_ms / 1000,
+        opening.idempotency_key,
+    )
--- /dev/null
+++ b/guavagap/handlers.py
@@ -0,0 +1,103 @@
+"""What a node does with each message that arrives on a link."""
+
+from functools import singledispatch
+
+from guavagap.errors import ErrorKind, GuavagapError, answer_for
+from guavagap.exchange import Attempt, limit_to_deadline
+from guavagap.forwarding import StreamDownstream, request_from_open_stream
+from guavagap.logs import get_logger
+from guavagap.messages import (
+    DeltaPush,
+    DeltaRequest,
+    MembersReply,
+    MembersRequest,
+    NoticesReply,
+    NoticesRequest,
+    OpenStream,
+    PermitGrant,
+    PermitReply,
+    PermitRequest,
+    PermitRevoke,
+)
+
+__all__ = ["handle_message"]
+
+log = get_logger()
+
+
+@singledispatch
+async def handle_message(message, node, link) -> None:
+    """Act on a message.
+
+    Args:
+        message: the message.
+        node: the receiving node.
+        link: where it arrived and where a reply goes.
+
+    Raises:
+        GuavagapError: FRAME_INVALID, which ends the link.
+    """
+    raise GuavagapError(
+        ErrorKind.FRAME_INVALID, f"unexpected {type(message).__name__} frame"
+    )
+
+
+@handle_message.register
+async def _(message: OpenStream, node, link) -> None:
+    await node.scope.spawn(_run_forwarded, message, node, link)
+
+
+async def _run_forwarded(opening: OpenStream, node, link) -> None:
+    """Run a forwarded request on a local backend server."""
+    stream = link.add_stream(opening.stream_id)
+    downstream = StreamDownstream(stream, opening)
+    request = request_from_open_stream(opening)
+    attempt = Attempt()
+    try:
+        async with limit_to_deadline(request.deadline_s, attempt):
+            await node.run_local(opening.server_id, request, downstream, attempt)
+    except GuavagapError as error:
+        is_not_run = not attempt.is_written or answer_for(error.kind).is_not_run
+        if not link.is_closed:
+            await stream.send_reset(error.kind, error.detail, is_not_run)
+    finally:
+        stream.close()
+
+
+@handle_message.register
+async def _(message: PermitRequest, node, link) -> None:
+    grants = []
+    for demand in message.demands:
+        front = node.fronts.get(demand.server_id)
+        granted, ttl_s = 0, node.settings.permit_ttl_s
+        if front is not None:
+            granted = front.permits.demand(link.peer_id, demand.wanted, demand.held)
+        grants.append(PermitGrant(demand.server_id, granted, int(ttl_s * 1000)))
+    await link.send(PermitReply(message.call_id, tuple(grants)))
+
+
+@handle_message.register
+async def _(message: PermitRevoke, node, link) -> None:
+    await node.direct.revoke(message.server_id)
+
+
+@handle_message.register
+async def _(message: DeltaRequest, node, link) -> None:
+    await node.scope.spawn(node.disseminator.send_reply, link, message)
+
+
+@handle_message.register
+async def _(message: DeltaPush, node, link) -> None:
+    await node.disseminator.on_push(link.peer_id, message)
+
+
+@handle_message.register
+async def _(message: MembersRequest, node, link) -> None:
+    node.membership.merge(message.own)
+    await link.send(MembersReply(message.call_id, tuple(node.table.rows())))
+
+
+@handle_message.register
+async def _(message: NoticesRequest, node, link) -> None:
+    node.take_notices(message.notices)
+    await link.send(NoticesReply(message.call_id, node.notices.all()))
--- /dev/null
+++ b/guavagap/http1.py
@@ -0,0 +1,265 @@
+"""HTTP/1.1 on one socket: ``h11`` joined to a ``curio`` socket (plumbing)."""
+
+import re
+import socket as stdlib_socket
+from typing import NamedTuple
+
+import curio
+import h11
+from curio import socket
+
+from guavagap.addresses import Address
+from guavagap.errors import ErrorKind, GuavagapError
+
+__all__ = [
+    "HOP_BY_HOP_HEADERS",
+    "Http1Connection",
+    "MAX_HEADER_BYTES",
+    "RECEIVE_BYTES",
+    "RequestHead",
+    "connect_http1",
+    "end_to_end_headers",
+    "header_value",
+    "open_listener",
+    "read_request_head",
+]
+
+RECEIVE_BYTES = 65_536
+MAX_HEADER_BYTES = 32_768
+LISTEN_BACKLOG = 1024
+
+HOP_BY_HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+_HEAD_END = re.compile(rb"\n\r?\n")
+_FOLDED_LINE = re.compile(rb"\n[ \t]")
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class RequestHead(NamedTuple):
+    """The head of a request; header names are in lower case.
+
+    Attributes:
+        content_length_bytes: the declared length, or None when chunked.
+        has_body: True when a body was announced.
+    """
+
+    method: bytes
+    target: bytes
+    http_version: bytes
+    headers: Headers
+    content_length_bytes: int | None
+    has_body: bool
+
+
+class Http1Connection:
+    """One end of an HTTP/1.1 connection.
+
+    Attributes:
+        sock: the ``curio`` socket.
+        h11: the protocol state of this end.
+        is_head_folded: True when the latest request head used obsolete line
+            folding.
+    """
+
+    __slots__ = ("sock", "h11", "is_head_folded", "_is_server", "used_count")
+
+    def __init__(self, sock, role):
+        self.sock = sock
+        self.h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
+        self.is_head_folded = False
+        self.used_count = 0
+        self._is_server = role is h11.SERVER
+
+    async def next_event(self):
+        """Return the next event of the other end, reading as needed.
+
+        Raises:
+            h11.RemoteProtocolError: the other end broke the protocol or left
+                in the middle of a message.
+        """
+        protocol = self.h11
+        while True:
+            event = protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self.sock.recv(RECEIVE_BYTES)
+            is_head = self._is_server and protocol.their_state is h11.IDLE
+            protocol.receive_data(data)
+            if is_head:
+                self._inspect_head()
+
+    def buffered_events(self) -> list:
+        """Return the events that need no further reading, oldest first."""
+        events = []
+        while True:
+            event = self.h11.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return events
+            events.append(event)
+            if type(event) is not h11.Data:
+                return events
+
+    def _inspect_head(self) -> None:
+        buffered, _ = self.h11.trailing_data
+        end = _HEAD_END.search(buffered)
+        head = buffered if end is None else buffered[: end.start() + 1]
+        self.is_head_folded = _FOLDED_LINE.search(head) is not None
+
+    async def send(self, *events) -> None:
+        """Write events with one system call."""
+        encode = self.h11.send
+        data = b"".join([encode(event) or b"" for event in events])
+        if data:
+            await self.sock.sendall(data)
+
+    def start_next_cycle(self) -> bool:
+        """Prepare for another request; return False when that is not possible."""
+        protocol = self.h11
+        if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
+            return False
+        protocol.start_next_cycle()
+        self.used_count += 1
+        if self._is_server:
+            self._inspect_head()
+        return True
+
+    def is_closed_by_peer(self) -> bool:
+        """Return whether the other end has closed, without waiting."""
+        flags = stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT
+        try:
+            return self.sock._socket.recv(1, flags) == b""
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
+    def is_silent(self) -> bool:
+        """Return whether the connection is open with nothing left to read."""
+        flags = stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT
+        try:
+            self.sock._socket.recv(1, flags)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def close(self) -> None:
+        """Close the socket; errors of closing are of no interest."""
+        try:
+            await self.sock.close()
+        except OSError:
+            pass
+
+
+async def connect_http1(address: Address, timeout_s: float) -> Http1Connection:
+    """Open a client connection.
+
+    Raises:
+        GuavagapError: CONNECT_FAILED; no byte of a request was written.
+    """
+    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        async with curio.timeout_after(timeout_s):
+            await sock.connect(address)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except (OSError, curio.TaskTimeout) as error:
+        await sock.close()
+        raise GuavagapError(
+            ErrorKind.CONNECT_FAILED, f"{address.ip}:{address.port}: {error!r}"
+        ) from None
+    except curio.CancelledError:
+        await sock.close()
+        raise
+    return Http1Connection(sock, h11.CLIENT)
+
+
+def open_listener(address: Address):
+    """Return a listening TCP socket."""
+    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    sock.listen(LISTEN_BACKLOG)
+    return sock
+
+
+def header_value(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header given by its lower-case name."""
+    for header_name, value in headers:
+        if header_name == name:
+            return value
+    return None
+
+
+def end_to_end_headers(headers: Headers) -> Headers:
+    """Return the headers without those that concern only one connection."""
+    dropped = HOP_BY_HOP_HEADERS
+    connection = header_value(headers, b"connection")
+    if connection is not None:
+        named = connection.lower().replace(b" ", b"").split(b",")
+        dropped = dropped.union(named)
+    return [header for header in headers if header[0] not in dropped]
+
+
+async def read_request_head(connection: Http1Connection) -> RequestHead | None:
+    """Read the head of the next request.
+
+    Returns:
+        The head, or None when the caller closed between requests.
+
+    Raises:
+        GuavagapError: BAD_REQUEST for a malformed or ambiguous head,
+            HEADERS_TOO_LARGE, UNSUPPORTED for CONNECT.
+    """
+    try:
+        event = await connection.next_event()
+    except h11.RemoteProtocolError as error:
+        if error.error_status_hint == 431:
+            raise GuavagapError(
+                ErrorKind.HEADERS_TOO_LARGE,
+                f"the head is larger than {MAX_HEADER_BYTES} bytes",
+            ) from None
+        raise GuavagapError(ErrorKind.BAD_REQUEST, str(error)) from None
+    if type(event) is not h11.Request:
+        return None
+    return _checked_head(connection, event)
+
+
+def _checked_head(connection: Http1Connection, event: h11.Request) -> RequestHead:
+    if connection.is_head_folded:
+        raise GuavagapError(ErrorKind.BAD_REQUEST, "obsolete line folding in the head")
+    if event.method == b"CONNECT":
+        raise GuavagapError(ErrorKind.UNSUPPORTED, "CONNECT is not supported")
+    headers = list(event.headers)
+    length = header_value(headers, b"content-length")
+    is_chunked = header_value(headers, b"transfer-encoding") is not None
+    if length is not None and is_chunked:
+        raise GuavagapError(
+            ErrorKind.BAD_REQUEST, "both Content-Length and Transfer-Encoding"
+        )
+    hosts = [value for name, value in headers if name == b"host"]
+    if len(hosts) > 1:
+        raise GuavagapError(ErrorKind.BAD_REQUEST, "more than one Host header")
+    length_bytes = None if length is None else int(length)
+    return RequestHead(
+        event.method,
+        event.target,
+        event.http_version,
+        headers,
+        length_bytes,
+        is_chunked or bool(length_bytes),
+    )
--- /dev/null
+++ b/guavagap/http_messages.py
@@ -0,0 +1,179 @@
+"""Whole HTTP messages for small exchanges: a client call and a server loop.
+
+Used for the admin port, the platform's key-value service and the command
+line, where bodies are small and are held in memory. The data path streams
+instead and does not use this module.
+"""
+
+from contextlib import asynccontextmanager
+from socket import IPPROTO_TCP, TCP_NODELAY
+from typing import NamedTuple
+
+import curio
+import h11
+
+from guavagap.addresses import Address, format_address
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.http1 import (
+    Http1Connection,
+    RequestHead,
+    connect_http1,
+    header_value,
+    read_request_head,
+)
+from guavagap.logs import get_logger
+from guavagap.tasks import TaskScope
+
+__all__ = [
+    "HttpRequest",
+    "HttpResponse",
+    "accept_connections",
+    "call_http",
+    "exchange_http",
+    "serve_http",
+]
+
+log = get_logger()
+
+MAX_MESSAGE_BODY_BYTES = 4 * 1024 * 1024
+
+
+class HttpRequest(NamedTuple):
+    """A whole request."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes = b""
+
+
+class HttpResponse(NamedTuple):
+    """A whole response."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes = b""
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header given by its lower-case name."""
+        return header_value(self.headers, name)
+
+
+async def _read_body(connection: Http1Connection) -> bytes:
+    chunks = []
+    size_bytes = 0
+    while True:
+        event = await connection.next_event()
+        if type(event) is h11.EndOfMessage:
+            return b"".join(chunks)
+        if type(event) is not h11.Data:
+            raise GuavagapError(ErrorKind.BODY_CUT_SHORT, f"got {type(event).__name__}")
+        size_bytes += len(event.data)
+        if size_bytes > MAX_MESSAGE_BODY_BYTES:
+            raise GuavagapError(
+                ErrorKind.BODY_TOO_LARGE, f"more than {MAX_MESSAGE_BODY_BYTES} bytes"
+            )
+        chunks.append(bytes(event.data))
+
+
+async def exchange_http(
+    connection: Http1Connection, request: HttpRequest
+) -> HttpResponse:
+    """Send a request on an open connection and read its whole response.
+
+    Raises:
+        OSError, h11.RemoteProtocolError: the connection or the other end failed.
+    """
+    headers = list(request.headers)
+    headers.append((b"content-length", b"%d" % len(request.body)))
+    head = h11.Request(method=request.method, target=request.target, headers=headers)
+    await connection.send(head, h11.Data(data=request.body), h11.EndOfMessage())
+    event = await connection.next_event()
+    while type(event) is h11.InformationalResponse:
+        event = await connection.next_event()
+    if type(event) is not h11.Response:
+        raise h11.RemoteProtocolError("the connection was closed before an answer")
+    body = await _read_body(connection)
+    return HttpResponse(event.status_code, list(event.headers), body)
+
+
+async def call_http(
+    address: Address, request: HttpRequest, timeout_s: float
+) -> HttpResponse:
+    """Make one call on a new connection.
+
+    Raises:
+        GuavagapError: NODE_UNREACHABLE when there is no whole answer in time.
+    """
+    try:
+        async with curio.timeout_after(timeout_s):
+            connection = await connect_http1(address, timeout_s)
+            try:
+                request = request._replace(
+                    headers=[
+                        (b"host", format_address(address).encode()),
+                        (b"connection", b"close"),
+                        *request.headers,
+                    ]
+                )
+                return await exchange_http(connection, request)
+            finally:
+                await connection.close()
+    except (OSError, h11.ProtocolError, GuavagapError, curio.TaskTimeout) as error:
+        raise GuavagapError(
+            ErrorKind.NODE_UNREACHABLE, f"{format_address(address)}: {error}"
+        ) from None
+
+
+async def _serve_one(connection: Http1Connection, head: RequestHead, handler) -> bool:
+    if connection.h11.they_are_waiting_for_100_continue:
+        await connection.send(h11.InformationalResponse(status_code=100, headers=[]))
+    body = await _read_body(connection)
+    request = HttpRequest(head.method, head.target, head.headers, body)
+    response = await handler(request)
+    headers = [(b"content-length", b"%d" % len(response.body)), *response.headers]
+    await connection.send(
+        h11.Response(status_code=response.status, headers=headers),
+        h11.Data(data=b"" if head.method == b"HEAD" else response.body),
+        h11.EndOfMessage(),
+    )
+    return connection.start_next_cycle()
+
+
+async def serve_http(sock, handler) -> None:
+    """Answer the requests of one connection.
+
+    Args:
+        sock: an accepted socket, closed at the end.
+        handler: coroutine function from :class:`HttpRequest` to
+            :class:`HttpResponse`.
+    """
+    connection = Http1Connection(sock, h11.SERVER)
+    try:
+        while True:
+            head = await read_request_head(connection)
+            if head is None or not await _serve_one(connection, head, handler):
+                return
+    except (OSError, h11.ProtocolError, GuavagapError) as error:
+        log.debug("connection ended", why=repr(error))
+    finally:
+        await connection.close()
+
+
+async def accept_connections(listener, scope: TaskScope, serve) -> None:
+    """Start ``serve(sock)`` as a task for each accepted connection."""
+    async with listener:
+        while True:
+            sock, _ = await listener.accept()
+            sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+            await scope.spawn(serve, sock)
+
+
+@asynccontextmanager
+async def open_http_connection(address: Address, timeout_s: float):
+    """Yield a client connection that is closed at the end."""
+    connection = await connect_http1(address, timeout_s)
+    try:
+        yield connection
+    finally:
+        await connection.close()
--- /dev/null
+++ b/guavagap/link.py
@@ -0,0 +1,347 @@
+"""The link: authenticated, multiplexed frames on one TCP connection.
+
+Each direction starts with a ``Hello`` and a ``Proof`` of the mesh key over both
+nonces. Later frames carry a code under a key of the connection and direction
+over a running number, so a changed, replayed or reordered frame ends the link.
+The dialing node opens streams and makes calls; the accepting node answers.
+"""
+
+import hashlib
+import hmac
+import os
+import struct
+from collections import Counter
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import curio
+from curio import socket
+
+from guavagap.addresses import Address
+from guavagap.codec import decode_frame, encode_frame
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.messages import (
+    Hello,
+    Proof,
+    StreamAnswer,
+    StreamCredit,
+    StreamData,
+    StreamReset,
+)
+from guavagap.streams import Stream
+
+__all__ = ["Link", "LinkIdentity", "TrafficCounts", "accept_link", "dial_link"]
+
+PROTOCOL_VERSION = 1
+NONCE_BYTES = 16
+MAC_BYTES = 16
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+HANDSHAKE_TIMEOUT_S = 3.0
+CALL_TIMEOUT_S = 3.0
+MAX_STREAMS = 512
+RECEIVE_BYTES = 65_536
+_LENGTH = struct.Struct(">I")
+_SEQUENCE = struct.Struct(">Q")
+_STREAM_MESSAGES = (StreamAnswer, StreamCredit, StreamData, StreamReset)
+
+
+class LinkIdentity(NamedTuple):
+    """Who this node is on its links."""
+
+    node_id: str
+    mesh_key_bytes: bytes
+
+
+class TrafficCounts(NamedTuple):
+    """Bytes and frames by message class, over all links of a node."""
+
+    sent_bytes: Counter
+    received_bytes: Counter
+    sent_frames: Counter
+
+
+class _FrameChannel:
+    """Frames on a socket, with codes once keys are set."""
+
+    def __init__(self, sock, counts: TrafficCounts):
+        self.sock = sock
+        self._counts = counts
+        self._buffer = bytearray()
+        self._send_lock = curio.Lock()
+        self._send_key = self._receive_key = None
+        self._sent = self._received = 0
+        self.is_broken = False
+
+    def set_keys(self, send_key: bytes, receive_key: bytes) -> None:
+        self._send_key, self._receive_key = send_key, receive_key
+
+    async def send(self, message) -> None:
+        """Send one frame; a failure or a cancelled send breaks the channel."""
+        body = encode_frame(message)
+        async with self._send_lock:
+            if self.is_broken:
+                raise GuavagapError(ErrorKind.LINK_LOST, "the link is closed")
+            mac = _frame_mac(self._send_key, self._sent, body)
+            self._sent += 1
+            packet = _LENGTH.pack(len(body)) + mac + body
+            self.is_broken = True
+            try:
+                await self.sock.sendall(packet)
+            except OSError as error:
+                raise GuavagapError(ErrorKind.LINK_LOST, repr(error)) from None
+            self.is_broken = False
+        name = type(message).__name__
+        self._counts.sent_bytes[name] += len(packet)
+        self._counts.sent_frames[name] += 1
+
+    async def receive(self):
+        """Return the next message.
+
+        Raises:
+            GuavagapError: LINK_LOST, AUTHENTICATION_FAILED or FRAME_INVALID.
+        """
+        head = await self._read(_LENGTH.size)
+        (size_bytes,) = _LENGTH.unpack(head)
+        if size_bytes > MAX_FRAME_BYTES:
+            raise GuavagapError(ErrorKind.FRAME_INVALID, f"{size_bytes} bytes")
+        mac = await self._read(MAC_BYTES)
+        body = await self._read(size_bytes)
+        expected = _frame_mac(self._receive_key, self._received, body)
+        if not hmac.compare_digest(mac, expected):
+            raise GuavagapError(
+                ErrorKind.AUTHENTICATION_FAILED, "a frame with a wrong code"
+            )
+        self._received += 1
+        message = decode_frame(body)
+        self._counts.received_bytes[type(message).__name__] += (
+            len(head) + len(mac) + len(body)
+        )
+        return message
+
+    async def _read(self, size_bytes: int) -> bytes:
+        buffer = self._buffer
+        while len(buffer) < size_bytes:
+            try:
+                data = await self.sock.recv(RECEIVE_BYTES)
+            except OSError as error:
+                raise GuavagapError(ErrorKind.LINK_LOST, repr(error)) from None
+            if not data:
+                raise GuavagapError(ErrorKind.LINK_LOST, "closed by the other node")
+            buffer += data
+        taken = bytes(buffer[:size_bytes])
+        del buffer[:size_bytes]
+        return taken
+
+
+def _frame_mac(key: bytes | None, sequence: int, body: bytes) -> bytes:
+    if key is None:
+        return bytes(MAC_BYTES)
+    code = hashlib.blake2b(_SEQUENCE.pack(sequence), key=key, digest_size=MAC_BYTES)
+    code.update(body)
+    return code.digest()
+
+
+class Link:
+    """One end of an authenticated connection to another node.
+
+    Attributes:
+        peer_id: the other node.
+        streams: forwarded requests in progress, by stream id.
+        is_closed: True when nothing more can be sent or received.
+    """
+
+    def __init__(self, channel: _FrameChannel, peer_id: str):
+        self.peer_id = peer_id
+        self.streams: dict[int, Stream] = {}
+        self.is_closed = False
+        self._channel = channel
+        self._calls: dict[int, curio.Event] = {}
+        self._replies: dict[int, object] = {}
+        self._next_id = 1
+
+    def next_id(self) -> int:
+        """Return an identifier never used before on this connection."""
+        self._next_id += 1
+        return self._next_id
+
+    async def send(self, message) -> None:
+        """Send one message; raises LINK_LOST."""
+        if self.is_closed:
+            raise GuavagapError(ErrorKind.LINK_LOST, "the link is closed")
+        await self._channel.send(message)
+
+    async def call(self, message, timeout_s: float = CALL_TIMEOUT_S):
+        """Send a request with a ``call_id`` and return its reply.
+
+        Raises:
+            GuavagapError: LINK_LOST when there is no reply in time; the link is
+                closed then, because a node that does not answer may be frozen.
+        """
+        call_id = self.next_id()
+        event = self._calls[call_id] = curio.Event()
+        try:
+            async with curio.timeout_after(timeout_s):
+                await self.send(message._replace(call_id=call_id))
+                await event.wait()
+        except curio.TaskTimeout:
+            await self.close()
+            raise GuavagapError(
+                ErrorKind.LINK_LOST,
+                f"{self.peer_id}: no reply to {type(message).__name__}",
+            ) from None
+        finally:
+            self._calls.pop(call_id, None)
+        if call_id not in self._replies:
+            raise GuavagapError(ErrorKind.LINK_LOST, f"{self.peer_id}: link closed")
+        return self._replies.pop(call_id)
+
+    def open_stream(self) -> Stream:
+        """Return a new stream.
+
+        Raises:
+            GuavagapError: OVERLOADED when too many are open.
+        """
+        return self.add_stream(self.next_id())
+
+    def add_stream(self, stream_id: int) -> Stream:
+        """Return the local end of a stream that has this identifier."""
+        if len(self.streams) >= MAX_STREAMS:
+            raise GuavagapError(ErrorKind.OVERLOADED, "too many streams on the link")
+        if stream_id in self.streams:
+            raise GuavagapError(ErrorKind.FRAME_INVALID, f"stream {stream_id} is open")
+        stream = self.streams[stream_id] = Stream(self, stream_id)
+        return stream
+
+    def forget_stream(self, stream_id: int) -> None:
+        """Drop a stream; later frames of it are ignored."""
+        self.streams.pop(stream_id, None)
+
+    async def run(self, handle) -> None:
+        """Receive until the link ends.
+
+        Args:
+            handle: coroutine function ``handle(link, message)`` for messages
+                that are neither replies nor part of a known stream.
+        """
+        try:
+            while True:
+                message = await self._channel.receive()
+                await self._dispatch(message, handle)
+        finally:
+            await self.close()
+
+    async def _dispatch(self, message, handle) -> None:
+        if isinstance(message, _STREAM_MESSAGES):
+            stream = self.streams.get(message.stream_id)
+            if stream is not None:
+                await stream.deliver(message)
+            return
+        call_id = getattr(message, "call_id", None)
+        if call_id is not None and call_id in self._calls and _is_reply(message):
+            self._replies[call_id] = message
+            await self._calls[call_id].set()
+            return
+        if not _is_reply(message):
+            await handle(self, message)
+
+    async def close(self) -> None:
+        """Close the connection and end every stream and call."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        for stream in list(self.streams.values()):
+            await stream.end_with_link()
+        for event in list(self._calls.values()):
+            await event.set()
+        # The receiving task owns the socket and closes it when this wakes it.
+        try:
+            await self._channel.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+
+def _is_reply(message) -> bool:
+    return type(message).__name__.endswith("Reply")
+
+
+def _derive(identity: LinkIdentity, purpose: bytes, parts: tuple) -> bytes:
+    code = hashlib.blake2b(key=identity.mesh_key_bytes, digest_size=32, person=purpose)
+    for part in parts:
+        code.update(_LENGTH.pack(len(part)) + part)
+    return code.digest()
+
+
+async def _handshake(
+    channel: _FrameChannel, identity: LinkIdentity, is_dialer: bool
+) -> str:
+    """Exchange hellos and proofs; return the other node's identifier."""
+    own = Hello(identity.node_id, os.urandom(NONCE_BYTES), PROTOCOL_VERSION)
+    await channel.send(own)
+    other = await channel.receive()
+    if not isinstance(other, Hello) or other.protocol != PROTOCOL_VERSION:
+        raise GuavagapError(ErrorKind.FRAME_INVALID, "no hello of this protocol")
+    dialer, acceptor = (own, other) if is_dialer else (other, own)
+    parts = (
+        dialer.node_id.encode(),
+        acceptor.node_id.encode(),
+        dialer.nonce,
+        acceptor.nonce,
+    )
+    dialer_key = _derive(identity, b"dialer", parts)
+    acceptor_key = _derive(identity, b"acceptor", parts)
+    keys = (dialer_key, acceptor_key) if is_dialer else (acceptor_key, dialer_key)
+    channel.set_keys(*keys)
+    await channel.send(Proof(b""))
+    if not isinstance(await channel.receive(), Proof):
+        raise GuavagapError(ErrorKind.AUTHENTICATION_FAILED, "no proof of the key")
+    return other.node_id
+
+
+@asynccontextmanager
+async def _open_link(sock, identity: LinkIdentity, counts: TrafficCounts, is_dialer):
+    channel = _FrameChannel(sock, counts)
+    try:
+        async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
+            peer_id = await _handshake(channel, identity, is_dialer)
+    except curio.TaskTimeout:
+        await sock.close()
+        raise GuavagapError(ErrorKind.LINK_UNREACHABLE, "no handshake") from None
+    except BaseException:
+        await sock.close()
+        raise
+    link = Link(channel, peer_id)
+    try:
+        yield link
+    finally:
+        await link.close()
+        await sock.close()
+
+
+def accept_link(sock, identity: LinkIdentity, counts: TrafficCounts):
+    """Yield the link of an accepted socket and close it at the end."""
+    return _open_link(sock, identity, counts, is_dialer=False)
+
+
+@asynccontextmanager
+async def dial_link(address: Address, identity: LinkIdentity, counts: TrafficCounts):
+    """Yield a link to another node and close it at the end.
+
+    Raises:
+        GuavagapError: LINK_UNREACHABLE, AUTHENTICATION_FAILED.
+    """
+    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
+            await sock.connect(address)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except (OSError, curio.TaskTimeout) as error:
+        await sock.close()
+        raise GuavagapError(
+            ErrorKind.LINK_UNREACHABLE, f"{address.ip}:{address.port}: {error!r}"
+        ) from None
+    except curio.CancelledError:
+        await sock.close()
+        raise
+    async with _open_link(sock, identity, counts, is_dialer=True) as link:
+        yield link
--- /dev/null
+++ b/guavagap/links.py
@@ -0,0 +1,134 @@
+"""Links to other nodes: dialed when needed, one for each peer."""
+
+import curio
+
+from guavagap.addresses import parse_address
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.faults import BlockedAddresses
+from guavagap.link import Link, LinkIdentity, TrafficCounts, accept_link, dial_link
+from guavagap.logs import get_logger
+from guavagap.members import MemberTable
+from guavagap.tasks import TaskScope
+
+__all__ = ["LinkPool"]
+
+log = get_logger()
+
+
+class LinkPool:
+    """Dialed and accepted links of one node.
+
+    Args:
+        identity: who this node is.
+        table: where addresses of nodes come from.
+        scope: owns one task for each dialed link.
+        handle: coroutine function ``handle(link, message)``.
+        counts: traffic over all links.
+        blocked: injected faults.
+    """
+
+    def __init__(
+        self,
+        identity: LinkIdentity,
+        table: MemberTable,
+        scope: TaskScope,
+        handle,
+        counts: TrafficCounts,
+        blocked: BlockedAddresses,
+    ):
+        self._blocked = blocked
+        self.counts = counts
+        self.accepted: set[Link] = set()
+        self.refused_count = 0
+        self._identity = identity
+        self._table = table
+        self._scope = scope
+        self._handle = handle
+        self._dialed: dict[str, Link] = {}
+        self._dialing: dict[str, curio.Lock] = {}
+
+    def __len__(self) -> int:
+        return len(self._dialed)
+
+    async def get(self, node_id: str) -> Link:
+        """Return the open link to a node, dialing it if there is none.
+
+        Raises:
+            GuavagapError: LINK_UNREACHABLE; nothing was sent.
+        """
+        link = self._dialed.get(node_id)
+        if link is not None and not link.is_closed:
+            return link
+        lock = self._dialing.setdefault(node_id, curio.Lock())
+        async with lock:
+            link = self._dialed.get(node_id)
+            if link is not None and not link.is_closed:
+                return link
+            return await self._dial(node_id)
+
+    async def _dial(self, node_id: str) -> Link:
+        row = self._table.get(node_id)
+        if row is None:
+            raise GuavagapError(ErrorKind.LINK_UNREACHABLE, f"unknown node {node_id}")
+        if parse_address(row.link_address) in self._blocked:
+            raise GuavagapError(ErrorKind.LINK_UNREACHABLE, f"{node_id} is blocked")
+        opened = curio.Event()
+        outcome: list = []
+        await self._scope.spawn(self._run_dialed, row, opened, outcome)
+        await opened.wait()
+        if isinstance(outcome[0], GuavagapError):
+            raise GuavagapError(ErrorKind.LINK_UNREACHABLE, outcome[0].detail)
+        return outcome[0]
+
+    async def _run_dialed(self, row, opened: curio.Event, outcome: list) -> None:
+        """Own one dialed link from its handshake to its end."""
+        node_id = row.node_id
+        try:
+            address = parse_address(row.link_address)
+            async with dial_link(address, self._identity, self.counts) as link:
+                if link.peer_id != node_id:
+                    raise GuavagapError(
+                        ErrorKind.LINK_UNREACHABLE, f"{node_id} is now {link.peer_id}"
+                    )
+                self._dialed[node_id] = link
+                outcome.append(link)
+                await opened.set()
+                await link.run(self._handle)
+        except GuavagapError as error:
+            outcome.append(error)
+            log.debug("link ended", peer=node_id, why=str(error))
+        finally:
+            if outcome and self._dialed.get(node_id) is outcome[0]:
+                del self._dialed[node_id]
+            if not outcome:
+                outcome.append(GuavagapError(ErrorKind.LINK_UNREACHABLE, "cancelled"))
+            await opened.set()
+
+    async def serve(self, sock) -> None:
+        """Serve one accepted socket until it ends."""
+        try:
+            async with accept_link(sock, self._identity, self.counts) as link:
+                self.accepted.add(link)
+                try:
+                    await link.run(self._handle)
+                finally:
+                    self.accepted.discard(link)
+        except GuavagapError as error:
+            if error.kind is ErrorKind.AUTHENTICATION_FAILED:
+                self.refused_count += 1
+                log.warning("link refused", why=str(error))
+                return
+            log.debug("link ended", why=str(error))
+
+    async def close_blocked(self) -> None:
+        """Close every link to or from a node whose address is blocked."""
+        for link in [*self._dialed.values(), *self.accepted]:
+            row = self._table.get(link.peer_id)
+            if row is not None and parse_address(row.link_address) in self._blocked:
+                await link.close()
+
+    async def close_peer(self, node_id: str) -> None:
+        """Close the dialed link to a node that is dead or gone."""
+        link = self._dialed.pop(node_id, None)
+        if link is not None:
+            await link.close()
--- /dev/null
+++ b/guavagap/members.py
@@ -0,0 +1,207 @@
+"""The member table: which nodes exist and which row wins.
+
+A row with a higher incarnation wins; at one incarnation the state furthest from
+alive wins. Only a node itself raises its incarnation, to refute a suspicion or
+to publish a change of its own row.
+"""
+
+import hashlib
+import math
+from typing import NamedTuple
+
+from guavagap.messages import BackendServer, Member, MemberState
+
+__all__ = ["MemberTable", "Suspicion", "is_newer"]
+
+DEAD_RETENTION_S = 600.0
+TRANSMISSIONS_FACTOR = 3
+MIN_TRANSMISSIONS = 4
+
+
+class Suspicion(NamedTuple):
+    """Since when a member is suspected, on this node's monotonic clock."""
+
+    member_id: str
+    since_s: float
+
+
+def is_newer(candidate: Member, held: Member) -> bool:
+    """Return whether a row replaces the one held."""
+    if candidate.incarnation != held.incarnation:
+        return candidate.incarnation > held.incarnation
+    return candidate.state > held.state
+
+
+def _row_digest(member: Member) -> int:
+    text = f"{member.node_id} {member.incarnation} {int(member.state)}"
+    code = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(code, "big")
+
+
+class MemberTable:
+    """Rows of every known node, and what is still to be told to others.
+
+    Args:
+        own: the row of this node.
+        clock: monotonic seconds.
+    """
+
+    def __init__(self, own: Member, clock):
+        self.own = own
+        self.digest = _row_digest(own)
+        self.version = 0
+        self.unreachable_domains: set[str] = set()
+        self._clock = clock
+        self._rows: dict[str, Member] = {own.node_id: own}
+        self._transmissions_left: dict[str, int] = {own.node_id: MIN_TRANSMISSIONS}
+        self._suspected_since: dict[str, float] = {}
+        self._ended_at: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def get(self, node_id: str) -> Member | None:
+        """Return a row."""
+        return self._rows.get(node_id)
+
+    def rows(self) -> list[Member]:
+        """Return every row, the own one included."""
+        return list(self._rows.values())
+
+    def others(self, *states: MemberState) -> list[Member]:
+        """Return the other nodes in one of some states."""
+        own_id = self.own.node_id
+        return [
+            row
+            for row in self._rows.values()
+            if row.state in states and row.node_id != own_id
+        ]
+
+    def alive(self) -> list[Member]:
+        """Return the rows that are alive, the own one included."""
+        return [row for row in self._rows.values() if row.state == MemberState.ALIVE]
+
+    def alive_in_domain(self, failure_domain: str) -> list[Member]:
+        """Return the alive rows of one failure domain."""
+        return [row for row in self.alive() if row.failure_domain == failure_domain]
+
+    def merge(self, candidate: Member) -> bool:
+        """Take a row if it is newer; return whether the table changed."""
+        if candidate.node_id == self.own.node_id:
+            return self._refute(candidate)
+        held = self._rows.get(candidate.node_id)
+        if held is not None and not is_newer(candidate, held):
+            return False
+        if held is None and candidate.state in (MemberState.DEAD, MemberState.LEFT):
+            return False
+        self._store(candidate)
+        return True
+
+    def _refute(self, candidate: Member) -> bool:
+        """Answer a row about this node that it did not publish."""
+        own = self.own
+        is_known = candidate.incarnation < own.incarnation or candidate == own
+        if is_known or own.state == MemberState.LEFT:
+            return False
+        if candidate.incarnation == own.incarnation and candidate.state == own.state:
+            return False
+        self._store(own._replace(incarnation=candidate.incarnation + 1))
+        return True
+
+    def publish(self, **changes) -> None:
+        """Change the own row and tell others."""
+        own = self.own._replace(incarnation=self.own.incarnation + 1, **changes)
+        self._store(own)
+
+    def publish_backend_servers(self, servers: tuple[BackendServer, ...]) -> None:
+        """Publish the local backend servers if they differ from the own row's."""
+        if servers != self.own.backend_servers:
+            self.publish(backend_servers=servers)
+
+    def suspect(self, node_id: str) -> None:
+        """Mark an alive member as suspected."""
+        row = self._rows.get(node_id)
+        if row is not None and row.state == MemberState.ALIVE:
+            self._store(row._replace(state=MemberState.SUSPECT))
+
+    def confirm_dead(self, node_id: str) -> None:
+        """Mark a suspected member as dead."""
+        row = self._rows.get(node_id)
+        if row is not None and row.state == MemberState.SUSPECT:
+            self._store(row._replace(state=MemberState.DEAD))
+
+    def suspicions(self) -> list[Suspicion]:
+        """Return the suspected members."""
+        return [Suspicion(*item) for item in self._suspected_since.items()]
+
+    def set_domain_reachable(self, failure_domain: str, is_reachable: bool) -> bool:
+        """Mark a failure domain as one thing; return whether that is news."""
+        is_marked = failure_domain in self.unreachable_domains
+        if is_reachable != is_marked:
+            return False
+        if is_reachable:
+            self.unreachable_domains.discard(failure_domain)
+        else:
+            self.unreachable_domains.add(failure_domain)
+        self.version += 1
+        return True
+
+    def is_usable(self, row: Member) -> bool:
+        """Return whether requests may be sent to a member's backend servers."""
+        return (
+            row.state in (MemberState.ALIVE, MemberState.SUSPECT)
+            and row.failure_domain not in self.unreachable_domains
+        )
+
+    def forget_ended(self) -> None:
+        """Drop rows that have been dead or gone for long."""
+        now_s = self._clock()
+        for node_id, ended_at_s in list(self._ended_at.items()):
+            if now_s - ended_at_s > DEAD_RETENTION_S:
+                self.digest ^= _row_digest(self._rows.pop(node_id))
+                del self._ended_at[node_id]
+                self._transmissions_left.pop(node_id, None)
+                self.version += 1
+
+    def take_news(self, limit: int) -> tuple[Member, ...]:
+        """Return the rows that were told least often, and count them as told."""
+        by_need = sorted(self._transmissions_left.items(), key=lambda item: -item[1])
+        taken = []
+        for node_id, left in by_need[:limit]:
+            taken.append(self._rows[node_id])
+            if left <= 1:
+                del self._transmissions_left[node_id]
+            else:
+                self._transmissions_left[node_id] = left - 1
+        return tuple(taken)
+
+    def has_news(self) -> bool:
+        """Return whether any row is still to be told."""
+        return bool(self._transmissions_left)
+
+    def _store(self, row: Member) -> None:
+        node_id = row.node_id
+        held = self._rows.get(node_id)
+        if held is not None:
+            self.digest ^= _row_digest(held)
+        self.digest ^= _row_digest(row)
+        self._rows[node_id] = row
+        self.version += 1
+        self._transmissions_left[node_id] = self._transmissions()
+        if node_id == self.own.node_id:
+            self.own = row
+        self._note_state(node_id, row.state)
+
+    def _note_state(self, node_id: str, state: int) -> None:
+        if state == MemberState.SUSPECT:
+            self._suspected_since.setdefault(node_id, self._clock())
+        else:
+            self._suspected_since.pop(node_id, None)
+        if state in (MemberState.DEAD, MemberState.LEFT):
+            self._ended_at[node_id] = self._clock()
+        else:
+            self._ended_at.pop(node_id, None)
+
+    def _transmissions(self) -> int:
+        growth = math.ceil(math.log2(len(self._rows) + 1))
+        return max(MIN_TRANSMISSIONS, TRANSMISSIONS_FACTOR * growth // 2)
--- /dev/null
+++ b/guavagap/membership.py
@@ -0,0 +1,332 @@
+"""The membership protocol: probes, suspicion and dissemination by datagram.
+
+Each node probes one random member per interval, first itself, then through
+helpers. Only changes are spread, a few rows on each datagram, so the cost per
+node does not depend on the size of the fleet. Each datagram also carries the
+sender's epoch and digests, which is how configuration, rollback notices and
+missing rows are noticed.
+"""
+
+import random
+import time
+from collections import Counter
+from typing import Callable
+
+import curio
+from curio import socket
+
+from guavagap.addresses import Address, format_address, parse_address
+from guavagap.datagrams import ReplayWindow, open_datagram, seal
+from guavagap.errors import GuavagapError
+from guavagap.faults import BlockedAddresses
+from guavagap.logs import get_logger
+from guavagap.members import MemberTable
+from guavagap.messages import Datagram, DatagramKind, Member, MemberState, PoisonMark
+from guavagap.tasks import TaskScope
+
+__all__ = ["DatagramHeader", "Membership"]
+
+log = get_logger()
+
+MAX_ROWS_PER_DATAGRAM = 4
+MAX_MARKS_PER_DATAGRAM = 4
+HELPERS = 3
+ACK_SHARE_OF_INTERVAL = 0.4
+CROSS_DOMAIN_SHARE = 1 / 8
+RECONNECT_SHARE = 1 / 10
+OVERRUN_FACTOR = 1.5
+RECEIVE_BYTES = 2048
+
+DatagramHeader = Callable[[], dict]
+
+
+class Membership:
+    """Runs the protocol on one UDP socket.
+
+    Args:
+        table: rows of all members.
+        address: where to listen.
+        mesh_key_bytes: key of the datagrams.
+        peer_addresses: mesh addresses from the settings.
+        probe_interval_s: time between probes.
+        suspicion_timeout_s: from suspicion to death.
+        header: returns the fields of each datagram that others own.
+        take_marks: returns poison marks to pass on.
+        on_datagram: coroutine function called with each valid datagram.
+        blocked: injected faults.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        address: Address,
+        mesh_key_bytes: bytes,
+        peer_addresses: tuple[Address, ...],
+        probe_interval_s: float,
+        suspicion_timeout_s: float,
+        header: DatagramHeader,
+        take_marks: Callable[[int], tuple[PoisonMark, ...]],
+        on_datagram,
+        blocked: BlockedAddresses,
+    ):
+        self._blocked = blocked
+        self.table = table
+        self.peer_addresses = peer_addresses
+        self.counts: Counter[str] = Counter()
+        self.probe_interval_s = probe_interval_s
+        self.suspicion_timeout_s = suspicion_timeout_s
+        self._address = address
+        self._key_bytes = mesh_key_bytes
+        self._header = header
+        self._take_marks = take_marks
+        self._on_datagram = on_datagram
+        self._session = random.getrandbits(63)
+        self._sequence = 0
+        self._token = 0
+        self._waiting: dict[int, curio.Event] = {}
+        self._window = ReplayWindow()
+        self._last_contact_s: dict[str, float] = {}
+        self._sock = None
+
+    async def run(self, scope: TaskScope) -> None:
+        """Listen and probe until cancelled."""
+        family = socket.AF_INET6 if ":" in self._address.ip else socket.AF_INET
+        self._sock = socket.socket(family, socket.SOCK_DGRAM)
+        self._sock.bind(self._address)
+        async with self._sock:
+            prober = await scope.spawn_role(self._probe_forever)
+            try:
+                await self._receive_forever(scope)
+            finally:
+                await prober.cancel(blocking=False)
+
+    async def _receive_forever(self, scope: TaskScope) -> None:
+        while True:
+            packet, sender = await self._sock.recvfrom(RECEIVE_BYTES)
+            self.counts["received_bytes"] += len(packet)
+            self.counts["received_datagrams"] += 1
+            await self._receive(packet, Address(*sender[:2]), scope)
+
+    async def _receive(self, packet: bytes, sender: Address, scope) -> None:
+        try:
+            datagram = open_datagram(self._key_bytes, packet)
+        except GuavagapError as error:
+            self.counts[error.kind.value] += 1
+            log.warning("datagram refused", kind=error.kind.value, why=error.detail)
+            return
+        if not self._window.accept(datagram.session, datagram.sequence):
+            self.counts["replayed"] += 1
+            return
+        self._note_contact(datagram.sender_id)
+        for row in datagram.members:
+            self.merge(row)
+        await self._answer(datagram, sender, scope)
+        await self._on_datagram(datagram)
+
+    def _note_contact(self, sender_id: str) -> None:
+        row = self.table.get(sender_id)
+        if row is None:
+            return
+        self._last_contact_s[row.failure_domain] = time.monotonic()
+        if self.table.set_domain_reachable(row.failure_domain, True):
+            log.info("failure domain reachable", failure_domain=row.failure_domain)
+
+    def merge(self, row: Member) -> bool:
+        """Take a row and log a change of state."""
+        held = self.table.get(row.node_id)
+        if not self.table.merge(row):
+            return False
+        if held is None or held.state != row.state:
+            state = MemberState(self.table.get(row.node_id).state).name.lower()
+            log.info("member state", member=row.node_id, state=state)
+        return True
+
+    async def _answer(self, datagram: Datagram, sender: Address, scope) -> None:
+        if datagram.kind == DatagramKind.PING:
+            extra = self._row_to_correct(datagram.sender_id)
+            await self.send(sender, DatagramKind.ACK, datagram.token, extra)
+        elif datagram.kind == DatagramKind.ACK:
+            event = self._waiting.get(datagram.token)
+            if event is not None:
+                await event.set()
+        elif datagram.kind == DatagramKind.PING_REQUEST:
+            await scope.spawn(self._help_probe, datagram, sender)
+
+    def _row_to_correct(self, sender_id: str) -> tuple[Member, ...]:
+        """Return the sender's row when others believe it is not alive."""
+        row = self.table.get(sender_id)
+        if row is None or row.state == MemberState.ALIVE:
+            return ()
+        return (row,)
+
+    async def _help_probe(self, request: Datagram, sender: Address) -> None:
+        try:
+            target = parse_address(request.target_address)
+        except ValueError:
+            return
+        if await self.ping(target, self.probe_interval_s * ACK_SHARE_OF_INTERVAL):
+            await self.send(sender, DatagramKind.ACK, request.token)
+
+    async def send(
+        self,
+        address: Address,
+        kind: DatagramKind,
+        token: int,
+        extra: tuple[Member, ...] = (),
+        target: Member | None = None,
+    ) -> None:
+        """Send one datagram with as much news as fits."""
+        limit = MAX_ROWS_PER_DATAGRAM - len(extra)
+        self._sequence += 1
+        datagram = Datagram(
+            sender_id=self.table.own.node_id,
+            session=self._session,
+            sequence=self._sequence,
+            members=extra + self.table.take_news(limit),
+            marks=self._take_marks(MAX_MARKS_PER_DATAGRAM),
+            kind=kind,
+            token=token,
+            target_address="" if target is None else target.mesh_address,
+            target_id="" if target is None else target.node_id,
+            members_digest=self.table.digest,
+            **self._header(),
+        )
+        packet = seal(self._key_bytes, datagram)
+        if address in self._blocked:
+            return
+        self.counts["sent_bytes"] += len(packet)
+        self.counts["sent_datagrams"] += 1
+        try:
+            await self._sock.sendto(packet, address)
+        except OSError as error:
+            log.debug("datagram not sent", to=format_address(address), why=repr(error))
+
+    async def ping(self, address: Address, timeout_s: float, extra=()) -> bool:
+        """Probe an address once; return whether it answered in time."""
+        self._token += 1
+        token = self._token
+        event = self._waiting[token] = curio.Event()
+        try:
+            await self.send(address, DatagramKind.PING, token, extra)
+            return await curio.ignore_after(timeout_s, _wait_for(event)) is True
+        finally:
+            del self._waiting[token]
+
+    async def ping_peers(self, timeout_s: float) -> int:
+        """Introduce this node to the configured peers; return how many answered."""
+        answered = 0
+        for address in self.peer_addresses:
+            if address != self._address:
+                answered += await self.ping(address, timeout_s, (self.table.own,))
+        return answered
+
+    async def gossip_now(self, count: int) -> None:
+        """Send news to some random members without waiting for a probe."""
+        members = self.table.others(MemberState.ALIVE)
+        for member in random.sample(members, min(count, len(members))):
+            await self.send(parse_address(member.mesh_address), DatagramKind.GOSSIP, 0)
+
+    async def _probe_forever(self) -> None:
+        while True:
+            started_s = time.monotonic()
+            await self._probe_once(started_s)
+            self.table.forget_ended()
+            left_s = self.probe_interval_s - (time.monotonic() - started_s)
+            await curio.sleep(max(left_s, 0) * random.uniform(0.9, 1.1))
+
+    async def _probe_once(self, started_s: float) -> None:
+        await self._reconnect_sometimes()
+        target = self._choose_target()
+        if target is None:
+            await self._expire_suspicions()
+            return
+        is_answered = await self._probe(target)
+        if self._was_paused(started_s):
+            return
+        if not is_answered:
+            self.table.suspect(target.node_id)
+            log.info("member suspected", member=target.node_id)
+        await self._expire_suspicions()
+
+    def _was_paused(self, started_s: float) -> bool:
+        """Return whether this process itself stood still during the probe."""
+        elapsed_s = time.monotonic() - started_s
+        return elapsed_s > self.probe_interval_s * OVERRUN_FACTOR
+
+    async def _probe(self, target: Member) -> bool:
+        timeout_s = self.probe_interval_s * ACK_SHARE_OF_INTERVAL
+        row = self.table.get(target.node_id)
+        extra = () if row.state == MemberState.ALIVE else (row,)
+        if await self.ping(parse_address(target.mesh_address), timeout_s, extra):
+            return True
+        helpers = [
+            member
+            for member in self.table.others(MemberState.ALIVE)
+            if member.node_id != target.node_id
+        ]
+        self._token += 1
+        token = self._token
+        event = self._waiting[token] = curio.Event()
+        try:
+            for helper in random.sample(helpers, min(HELPERS, len(helpers))):
+                address = parse_address(helper.mesh_address)
+                await self.send(
+                    address, DatagramKind.PING_REQUEST, token, target=target
+                )
+            return await curio.ignore_after(timeout_s, _wait_for(event)) is True
+        finally:
+            del self._waiting[token]
+
+    def _choose_target(self) -> Member | None:
+        members = self.table.others(MemberState.ALIVE, MemberState.SUSPECT)
+        own_domain = self.table.own.failure_domain
+        near = [row for row in members if row.failure_domain == own_domain]
+        far = [row for row in members if row.failure_domain != own_domain]
+        if far and (not near or random.random() < CROSS_DOMAIN_SHARE):
+            return random.choice(far)
+        return random.choice(near) if near else None
+
+    async def _reconnect_sometimes(self) -> None:
+        """Try a dead member or a configured peer, so that no split is for ever."""
+        if random.random() >= RECONNECT_SHARE and len(self.table) > 1:
+            return
+        addresses = [
+            parse_address(row.mesh_address)
+            for row in self.table.others(MemberState.DEAD)
+        ]
+        addresses += [peer for peer in self.peer_addresses if peer != self._address]
+        if not addresses:
+            return
+        self._token += 1
+        await self.send(
+            random.choice(addresses),
+            DatagramKind.PING,
+            self._token,
+            (self.table.own,),
+        )
+
+    async def _expire_suspicions(self) -> None:
+        now_s = time.monotonic()
+        for suspicion in self.table.suspicions():
+            if now_s - suspicion.since_s < self.suspicion_timeout_s:
+                continue
+            row = self.table.get(suspicion.member_id)
+            if self._is_domain_silent(row, suspicion.since_s):
+                if self.table.set_domain_reachable(row.failure_domain, False):
+                    log.warning(
+                        "failure domain unreachable", failure_domain=row.failure_domain
+                    )
+                continue
+            self.table.confirm_dead(row.node_id)
+            log.info("member state", member=row.node_id, state="dead")
+
+    def _is_domain_silent(self, row: Member, since_s: float) -> bool:
+        """Return whether nothing of another failure domain has been heard."""
+        if row.failure_domain == self.table.own.failure_domain:
+            return False
+        return self._last_contact_s.get(row.failure_domain, 0) < since_s
+
+
+async def _wait_for(event: curio.Event) -> bool:
+    await event.wait()
+    return True
--- /dev/null
+++ b/guavagap/messages.py
@@ -0,0 +1,366 @@
+"""Messages between nodes, one class for each struct of ``mesh.capnp``.
+
+Fields carry the schema's names in snake case; see :mod:`guavagap.codec`.
+"""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+__all__ = [
+    "BackendServer",
+    "Datagram",
+    "DatagramKind",
+    "DeltaPush",
+    "DeltaReply",
+    "DeltaRequest",
+    "EvidenceReport",
+    "EvidenceRow",
+    "Header",
+    "Hello",
+    "KeyRecord",
+    "KeyState",
+    "KeyWitnessReply",
+    "KeyWitnessRequest",
+    "Member",
+    "MemberState",
+    "MembersReply",
+    "MembersRequest",
+    "Notice",
+    "NoticesReply",
+    "NoticesRequest",
+    "OpenStream",
+    "PermitDemand",
+    "PermitGrant",
+    "PermitReply",
+    "PermitRequest",
+    "PermitRevoke",
+    "PoisonMark",
+    "Proof",
+    "StreamAnswer",
+    "StreamCredit",
+    "StreamData",
+    "StreamReset",
+]
+
+
+class Header(NamedTuple):
+    """One HTTP header; the name is in lower case."""
+
+    name: bytes
+    value: bytes
+
+
+class BackendServer(NamedTuple):
+    """A backend server as its node advertises it."""
+
+    server_id: str
+    service: str
+    version: str
+    pool: str
+    address: str
+    slots: int
+    connections: int
+    is_draining: bool = False
+
+
+class MemberState(IntEnum):
+    """States of a member; at one incarnation the higher state wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class Member(NamedTuple):
+    """A node as others know it.
+
+    Attributes:
+        incarnation: raised only by the node itself, to refute a suspicion and
+            to publish a change.
+    """
+
+    node_id: str
+    incarnation: int
+    state: int
+    region: str
+    failure_domain: str
+    link_address: str
+    mesh_address: str
+    admin_address: str
+    is_relay: bool = False
+    backend_servers: tuple[BackendServer, ...] = ()
+
+
+class Notice(NamedTuple):
+    """A version that must get no traffic from now on."""
+
+    service: str
+    version: str
+    reason: str
+
+
+class PoisonMark(NamedTuple):
+    """A request fingerprint to refuse for some time."""
+
+    fingerprint: bytes
+    ttl_ms: int
+
+
+class DatagramKind(IntEnum):
+    """Kinds of datagrams."""
+
+    PING = 0
+    ACK = 1
+    PING_REQUEST = 2
+    GOSSIP = 3
+
+
+class Datagram(NamedTuple):
+    """One datagram of the membership protocol.
+
+    Attributes:
+        session: random, new at each start of the sender.
+        sequence: rises with each datagram of a session.
+        epoch: the configuration epoch that the sender has applied.
+        head_digest: first 64 bits of the digest of that epoch's content.
+        notices_digest: digest of the rollback notices that the sender holds.
+        members_digest: digest of the members that the sender knows.
+        token: joins an acknowledgement to its probe.
+        target_address: whom to probe, for PING_REQUEST.
+    """
+
+    sender_id: str
+    session: int
+    sequence: int
+    epoch: int
+    notices_digest: int
+    members: tuple[Member, ...]
+    marks: tuple[PoisonMark, ...]
+    kind: int
+    token: int
+    target_address: str = ""
+    target_id: str = ""
+    head_digest: int = 0
+    members_digest: int = 0
+
+
+class Hello(NamedTuple):
+    """First frame in each direction of a link."""
+
+    node_id: str
+    nonce: bytes
+    protocol: int
+
+
+class Proof(NamedTuple):
+    """Second frame in each direction: proves knowledge of the mesh key."""
+
+    mac: bytes
+
+
+class OpenStream(NamedTuple):
+    """Head of a forwarded request, with as much body as is at hand."""
+
+    stream_id: int
+    server_id: str
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    timeout_ms: int
+    body: bytes
+    is_complete: bool
+    is_idempotent: bool
+    idempotency_key: bytes = b""
+    fingerprint: bytes = b""
+
+
+class StreamData(NamedTuple):
+    """Further bytes of a body, in either direction."""
+
+    stream_id: int
+    body: bytes
+    is_complete: bool
+
+
+class StreamCredit(NamedTuple):
+    """Permission to send that many more body bytes."""
+
+    stream_id: int
+    credit_bytes: int
+
+
+class StreamReset(NamedTuple):
+    """The end of a stream that cannot be finished."""
+
+    stream_id: int
+    kind: str
+    detail: str
+    is_not_run: bool
+
+
+class StreamAnswer(NamedTuple):
+    """Head of an answer, with as much body as is at hand."""
+
+    stream_id: int
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    is_complete: bool
+
+
+class PermitDemand(NamedTuple):
+    """How many direct connections an ingress node wants and has open."""
+
+    server_id: str
+    wanted: int
+    held: int
+
+
+class PermitRequest(NamedTuple):
+    """Demands for every backend server of the receiver, renewed in bulk."""
+
+    call_id: int
+    demands: tuple[PermitDemand, ...]
+
+
+class PermitGrant(NamedTuple):
+    """How many direct connections are permitted, and for how long."""
+
+    server_id: str
+    granted: int
+    ttl_ms: int
+
+
+class PermitReply(NamedTuple):
+    """Answer to :class:`PermitRequest`."""
+
+    call_id: int
+    grants: tuple[PermitGrant, ...]
+
+
+class PermitRevoke(NamedTuple):
+    """All permits for a backend server end now."""
+
+    server_id: str
+
+
+class DeltaRequest(NamedTuple):
+    """Asks for the configuration after an epoch."""
+
+    call_id: int
+    base_epoch: int
+
+
+class DeltaReply(NamedTuple):
+    """A compressed delta, or ``is_busy`` with nodes that may have it."""
+
+    call_id: int
+    is_busy: bool
+    compressed: bytes
+    raw_bytes: int
+    redirect_ids: tuple[str, ...] = ()
+
+
+class DeltaPush(NamedTuple):
+    """A compressed delta on its way down the fan-out tree of ``root_id``."""
+
+    compressed: bytes
+    raw_bytes: int
+    root_id: str
+    base_epoch: int
+    epoch: int
+
+
+class MembersRequest(NamedTuple):
+    """Asks for the whole member table and introduces the sender."""
+
+    call_id: int
+    own: Member
+
+
+class MembersReply(NamedTuple):
+    """Answer to :class:`MembersRequest`."""
+
+    call_id: int
+    members: tuple[Member, ...]
+
+
+class NoticesRequest(NamedTuple):
+    """Offers the sender's notices and asks for the receiver's."""
+
+    call_id: int
+    notices: tuple[Notice, ...]
+
+
+class NoticesReply(NamedTuple):
+    """Answer to :class:`NoticesRequest`."""
+
+    call_id: int
+    notices: tuple[Notice, ...]
+
+
+class EvidenceRow(NamedTuple):
+    """Outcomes of requests to one backend server on one route.
+
+    Attributes:
+        latency_buckets: counts by :data:`guavagap.evidence.LATENCY_BOUNDS_MS`.
+    """
+
+    service: str
+    version: str
+    route: str
+    server_id: str
+    requests: int
+    failures: int
+    latency_buckets: tuple[int, ...]
+
+
+class EvidenceReport(NamedTuple):
+    """Rows since the last report of the source.
+
+    Attributes:
+        is_summed: True from a relay, False from a node.
+    """
+
+    source_id: str
+    rows: tuple[EvidenceRow, ...]
+    is_summed: bool
+
+
+class KeyState(IntEnum):
+    """What is known of a request with an idempotency key."""
+
+    RUNNING = 0
+    DONE = 1
+    NOT_RUN = 2
+
+
+class KeyRecord(NamedTuple):
+    """One idempotency key as a witness keeps it."""
+
+    key: bytes
+    digest: bytes
+    state: int
+    owner_id: str
+
+
+class KeyWitnessRequest(NamedTuple):
+    """Records a key at a witness, or asks what it has recorded."""
+
+    call_id: int
+    record: KeyRecord
+    is_query: bool
+
+
+class KeyWitnessReply(NamedTuple):
+    """Answer to :class:`KeyWitnessRequest`.
+
+    Attributes:
+        is_held: True when the witness had a record of the key before.
+        record: that earlier record, or the new one.
+    """
+
+    call_id: int
+    is_held: bool
+    record: KeyRecord
--- /dev/null
+++ b/guavagap/poison.py
@@ -0,0 +1,115 @@
+"""Poison requests: those that crash each backend server that runs them.
+
+A request is known by its fingerprint. A crash while it is in flight is a
+strike; a success clears it, which keeps popular requests that were merely in
+flight during a crash from being blamed. Strikes from two distinct backend
+servers refuse the fingerprint for a time. Strikes and refusals spread by gossip.
+"""
+
+import hashlib
+import time
+from collections import OrderedDict
+from typing import NamedTuple
+
+from guavagap.messages import PoisonMark
+
+__all__ = ["PoisonGuard", "fingerprint_of"]
+
+QUARANTINE_S = 120.0
+STRIKE_LIFETIME_S = 60.0
+MAX_FINGERPRINTS = 1000
+STRIKES_TO_QUARANTINE = 2
+MARK_TRANSMISSIONS = 8
+FINGERPRINT_BYTES = 16
+
+
+def fingerprint_of(method: bytes, target: bytes, chunks: list[bytes]) -> bytes:
+    """Return the fingerprint of a request.
+
+    Args:
+        method: the method.
+        target: path and query.
+        chunks: the body bytes that were read ahead.
+    """
+    code = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (method, target, *chunks):
+        code.update(len(part).to_bytes(8, "big") + part)
+    return code.digest()
+
+
+class _Strikes(NamedTuple):
+    server_ids: frozenset[str]
+    expires_at_s: float
+
+
+class PoisonGuard:
+    """Strikes and quarantines known to this node."""
+
+    def __init__(self, clock=time.monotonic):
+        self._clock = clock
+        self._strikes: OrderedDict[bytes, _Strikes] = OrderedDict()
+        self._quarantined: OrderedDict[bytes, float] = OrderedDict()
+        self._marks_left: dict[bytes, int] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._strikes or self._quarantined)
+
+    @property
+    def quarantined_count(self) -> int:
+        """How many fingerprints are refused."""
+        return len(self._quarantined)
+
+    def is_quarantined(self, fingerprint: bytes) -> bool:
+        """Return whether a request must be refused."""
+        expires_at_s = self._quarantined.get(fingerprint)
+        if expires_at_s is None:
+            return False
+        if expires_at_s > self._clock():
+            return True
+        del self._quarantined[fingerprint]
+        return False
+
+    def note_crash(self, fingerprint: bytes, server_id: str) -> bool:
+        """Count a strike; return whether the fingerprint is now refused."""
+        now_s = self._clock()
+        held = self._strikes.pop(fingerprint, None)
+        if held is None or held.expires_at_s <= now_s:
+            held = _Strikes(frozenset(), 0)
+        server_ids = held.server_ids | {server_id}
+        if len(server_ids) >= STRIKES_TO_QUARANTINE:
+            self._quarantine(fingerprint, QUARANTINE_S)
+            return True
+        self._strikes[fingerprint] = _Strikes(server_ids, now_s + STRIKE_LIFETIME_S)
+        if len(self._strikes) > MAX_FINGERPRINTS:
+            self._strikes.popitem(last=False)
+        return False
+
+    def note_success(self, fingerprint: bytes) -> None:
+        """Clear the strikes of a request that a backend server has survived."""
+        self._strikes.pop(fingerprint, None)
+
+    def _quarantine(self, fingerprint: bytes, ttl_s: float) -> None:
+        self._quarantined[fingerprint] = self._clock() + ttl_s
+        self._marks_left[fingerprint] = MARK_TRANSMISSIONS
+        if len(self._quarantined) > MAX_FINGERPRINTS:
+            oldest, _ = self._quarantined.popitem(last=False)
+            self._marks_left.pop(oldest, None)
+
+    def merge(self, mark: PoisonMark) -> None:
+        """Take a quarantine from another node."""
+        if not self.is_quarantined(mark.fingerprint):
+            ttl_s = min(mark.ttl_ms / 1000, QUARANTINE_S)
+            self._quarantine(mark.fingerprint, ttl_s)
+
+    def take_marks(self, limit: int) -> tuple[PoisonMark, ...]:
+        """Return quarantines to pass on, and count them as told."""
+        marks = []
+        for fingerprint, left in list(self._marks_left.items())[:limit]:
+            left_s = self._quarantined.get(fingerprint, 0) - self._clock()
+            if left_s > 0:
+                marks.append(PoisonMark(fingerprint, int(left_s * 1000)))
+            if left <= 1 or left_s <= 0:
+                del self._marks_left[fingerprint]
+            else:
+                self._marks_left[fingerprint] = left - 1
+        return tuple(marks)
--- /dev/null
+++ b/guavagap/relay.py
@@ -0,0 +1,319 @@
+"""The relay of a failure domain: a lease, and a watch on the head.
+
+Only a few candidates of a failure domain ever ask for the lease, so the number
+of platform calls does not depend on the size of the fleet. Two relays at once
+are harmless: both only read the head and push what nodes have already checked.
+"""
+
+import json
+import random
+import time
+from typing import NamedTuple
+
+import curio
+
+from guavagap.backoff import Backoff
+from guavagap.commits import HEAD_KEY, read_body
+from guavagap.configuration import Configuration
+from guavagap.dissemination import Disseminator
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.head import Delta, Head, decode_head, digest_of_head
+from guavagap.logs import get_logger
+from guavagap.members import MemberTable
+from guavagap.platform import ABSENT, Platform
+from guavagap.rendezvous import rendezvous_order
+from guavagap.tasks import TaskScope
+
+__all__ = [
+    "Relay",
+    "SEEDS_KEY",
+    "Seed",
+    "decode_seeds",
+    "encode_seeds",
+    "lease_key",
+]
+
+log = get_logger()
+
+CANDIDATES = 3
+HEAD_WAIT_S = 20.0
+RENEWALS_PER_TTL = 3
+RANK_DELAY_SHARE_OF_TTL = 0.05
+BACKOFF_FIRST_S = 0.2
+BACKOFF_LIMIT_S = 5.0
+SEEDS_KEY = "seeds"
+SEED_WRITE_ATTEMPTS = 10
+SEED_WRITE_BACKOFF_S = 1.0
+
+
+class _HeldLease(NamedTuple):
+    revision: str
+    renewed_at_s: float
+
+
+def lease_key(failure_domain: str) -> str:
+    """Return the platform key of a failure domain's relay lease."""
+    return f"relay/{failure_domain}"
+
+
+class Seed(NamedTuple):
+    """Where to reach the relay that a failure domain had last."""
+
+    mesh_address: str
+    admin_address: str
+
+
+def encode_seeds(seeds: dict[str, Seed]) -> bytes:
+    """Return the JSON of the seeds of each failure domain."""
+    return json.dumps(seeds, sort_keys=True).encode()
+
+
+def decode_seeds(body: bytes) -> dict[str, Seed]:
+    """Return the seeds of each failure domain.
+
+    Raises:
+        GuavagapError: FRAME_INVALID.
+    """
+    try:
+        return {str(key): Seed(*value) for key, value in json.loads(body).items()}
+    except (ValueError, TypeError, AttributeError) as error:
+        raise GuavagapError(ErrorKind.FRAME_INVALID, f"seeds: {error}") from None
+
+
+class Relay:
+    """Contends for the lease and, while it is held, relays the head.
+
+    Args:
+        platform: the platform.
+        table: the member table; ``is_relay`` of the own row follows the lease.
+        configuration: where a new head is applied.
+        disseminator: pushes what was applied.
+        lease_ttl_s: time-to-live of the lease.
+        introduce: coroutine function that tells nodes at some mesh addresses
+            about this one.
+
+    Attributes:
+        is_held: whether this node holds the lease, as far as it knows.
+        platform_epoch: the latest epoch read from the platform, or None.
+        went_back: True after the platform has shown an epoch below one applied.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        table: MemberTable,
+        configuration: Configuration,
+        disseminator: Disseminator,
+        lease_ttl_s: float,
+        introduce,
+    ):
+        self.is_held = False
+        self.platform_epoch: int | None = None
+        self.went_back = False
+        self._platform = platform
+        self._table = table
+        self._configuration = configuration
+        self._disseminator = disseminator
+        self._lease_ttl_s = lease_ttl_s
+        self._introduce = introduce
+        self._revision = ABSENT
+
+    async def run(self, scope: TaskScope) -> None:
+        """Contend and relay until cancelled."""
+        backoff = Backoff(BACKOFF_FIRST_S, BACKOFF_LIMIT_S)
+        while True:
+            rank = self._rank()
+            if rank >= CANDIDATES:
+                await curio.sleep(self._lease_ttl_s)
+                continue
+            try:
+                lease = await self._contend(rank)
+                backoff.reset()
+                if lease is not None:
+                    await self._hold(lease, scope)
+            except GuavagapError as error:
+                log.debug("relay lease not held", why=str(error))
+                await curio.sleep(backoff.next_s())
+
+    def _rank(self) -> int:
+        own = self._table.own
+        members = self._table.alive_in_domain(own.failure_domain)
+        order = rendezvous_order(
+            own.failure_domain, [row.node_id for row in members], str
+        )
+        return order.index(own.node_id) if own.node_id in order else CANDIDATES
+
+    async def _contend(self, rank: int) -> _HeldLease | None:
+        """Wait for the lease to be free and try to take it once."""
+        key = lease_key(self._table.own.failure_domain)
+        value = await self._platform.get(key)
+        if value is not None and value.body == self._lease_body():
+            return await self._renew(_HeldLease(value.revision, 0))
+        if value is not None:
+            await self._platform.watch(key, value.revision, self._lease_ttl_s)
+            await curio.sleep(rank * RANK_DELAY_SHARE_OF_TTL * self._lease_ttl_s)
+            return None
+        return await self._renew(_HeldLease(ABSENT, 0))
+
+    def _lease_body(self) -> bytes:
+        own = self._table.own
+        return f"{own.node_id} {own.mesh_address}".encode()
+
+    async def _renew(self, lease: _HeldLease) -> _HeldLease | None:
+        """Write the lease; return None when another node holds it."""
+        key = lease_key(self._table.own.failure_domain)
+        started_s = time.monotonic()
+        try:
+            revision = await self._platform.put(
+                key, self._lease_body(), lease.revision, self._lease_ttl_s
+            )
+        except GuavagapError as error:
+            if error.kind is ErrorKind.CONFLICT:
+                return None
+            raise
+        return _HeldLease(revision, started_s)
+
+    async def _hold(self, lease: _HeldLease, scope: TaskScope) -> None:
+        """Relay while the lease is renewed."""
+        self._set_held(True)
+        watcher = await scope.spawn(self._watch_head)
+        await scope.spawn(self._meet_other_relays)
+        try:
+            while True:
+                await curio.sleep(self._lease_ttl_s / RENEWALS_PER_TTL)
+                lease = await self._renew_or_keep(lease)
+                if lease is None:
+                    return
+        finally:
+            await watcher.cancel(blocking=False)
+            self._set_held(False)
+
+    async def _renew_or_keep(self, lease: _HeldLease) -> _HeldLease | None:
+        try:
+            return await self._renew(lease)
+        except GuavagapError as error:
+            log.info("relay lease not renewed", why=str(error))
+        if time.monotonic() - lease.renewed_at_s > self._lease_ttl_s:
+            return None
+        return lease
+
+    def _set_held(self, is_held: bool) -> None:
+        if is_held == self.is_held:
+            return
+        self.is_held = is_held
+        self._table.publish(is_relay=is_held)
+        log.info("relay lease", is_held=is_held)
+
+    async def _meet_other_relays(self) -> None:
+        """Publish the own mesh address and introduce this node to other relays."""
+        own = self._table.own
+        for _ in range(SEED_WRITE_ATTEMPTS):
+            try:
+                value = await self._platform.get(SEEDS_KEY)
+                seeds = {} if value is None else decode_seeds(value.body)
+                revision = ABSENT if value is None else value.revision
+                own_seed = Seed(own.mesh_address, own.admin_address)
+                if seeds.get(own.failure_domain) != own_seed:
+                    seeds[own.failure_domain] = own_seed
+                    await self._platform.put(SEEDS_KEY, encode_seeds(seeds), revision)
+                await self._introduce([seed.mesh_address for seed in seeds.values()])
+                return
+            except GuavagapError as error:
+                log.info("seeds not written", why=str(error))
+                await curio.sleep(random.uniform(0, SEED_WRITE_BACKOFF_S))
+
+    async def release(self) -> None:
+        """Give the lease back at a graceful shutdown."""
+        if not self.is_held:
+            return
+        key = lease_key(self._table.own.failure_domain)
+        try:
+            value = await self._platform.get(key)
+            if value is not None and value.body == self._lease_body():
+                await self._platform.delete(key, value.revision)
+        except GuavagapError as error:
+            log.info("relay lease not released", why=str(error))
+
+    async def _watch_head(self) -> None:
+        backoff = Backoff(BACKOFF_FIRST_S, BACKOFF_LIMIT_S)
+        while True:
+            try:
+                await self._follow_head_once()
+                backoff.reset()
+            except GuavagapError as error:
+                log.warning("head not relayed", why=str(error))
+                await curio.sleep(backoff.next_s())
+
+    async def _follow_head_once(self) -> None:
+        value = await self._platform.watch(HEAD_KEY, self._revision, HEAD_WAIT_S)
+        if value is None:
+            self._note_history(self._configuration.epoch > 0, 0)
+            return
+        if value.revision == self._revision:
+            return
+        delta = await self.take_head(decode_head(value.body))
+        self._revision = value.revision
+        if delta is not None:
+            await self._disseminator.push_from_here(delta)
+
+    async def take_head(self, head: Head) -> Delta | None:
+        """Fetch what a head needs and apply it.
+
+        Returns:
+            The delta applied, or None when the epoch is not higher.
+        """
+        self.platform_epoch = head["epoch"]
+        own_epoch = self._configuration.epoch
+        digest = digest_of_head(head["epoch"], head["entries"])
+        self._check_history(head, digest)
+        if head["epoch"] <= own_epoch:
+            return None
+        entries = {
+            service: entry
+            for service, entry in head["entries"].items()
+            if entry["epoch"] > own_epoch
+        }
+        changed = {
+            service: entry
+            for service, entry in entries.items()
+            if entry["document_epoch"] > own_epoch
+        }
+        bodies = await self._read_bodies(changed)
+        delta = Delta(own_epoch, head["epoch"], entries, bodies, digest)
+        try:
+            is_applied = self._configuration.apply(delta)
+        except GuavagapError as error:
+            log.warning("delta does not fit, taking the whole head", why=str(error))
+            bodies = await self._read_bodies(head["entries"])
+            delta = Delta(0, head["epoch"], head["entries"], bodies, digest)
+            is_applied = self._configuration.apply(delta)
+        return delta if is_applied else None
+
+    async def _read_bodies(self, entries: dict) -> dict[str, bytes]:
+        bodies = {}
+        for service, entry in entries.items():
+            digest = entry["digest"]
+            if entry["is_deleted"]:
+                continue
+            if self._configuration.has_body(digest):
+                bodies[digest] = self._configuration.bodies[digest]
+            else:
+                bodies[digest] = await read_body(self._platform, service, digest)
+        return bodies
+
+    def _check_history(self, head: Head, digest: str) -> None:
+        """Raise an alarm when the platform shows an older or another history."""
+        own_epoch = self._configuration.epoch
+        is_other = head["epoch"] == own_epoch and digest != (
+            self._configuration.head_digest
+        )
+        self._note_history(head["epoch"] < own_epoch or is_other, head["epoch"])
+
+    def _note_history(self, went_back: bool, read_epoch: int) -> None:
+        if went_back and not self.went_back:
+            log.error(
+                "platform went back in time",
+                read=read_epoch,
+                applied=self._configuration.epoch,
+            )
+        self.went_back = went_back
--- /dev/null
+++ b/guavagap/routing.py
@@ -0,0 +1,170 @@
+"""Choice of the backend server for a request.
+
+The version is chosen first, by the rollout's weight. Among the version's
+targets the nearest ones that are not saturated are considered, and the less
+loaded of two random ones is taken.
+"""
+
+import hashlib
+import random
+import time
+
+from guavagap.directory import Directory, Target
+from guavagap.rendezvous import rendezvous_order
+from guavagap.snapshot import CompiledRoute, ServiceState
+
+__all__ = ["Router", "saturation"]
+
+FULL_WEIGHT_PERMILLE = 1000
+
+
+def saturation(target: Target, max_in_flight: int | None, now_s: float) -> float:
+    """Return the share of a target's capacity in use, 1.0 or more when full."""
+    capacity = target.server.slots
+    if max_in_flight is not None:
+        capacity = min(capacity, max_in_flight)
+    factor = target.health.slow_start_factor(now_s)
+    return target.health.load(now_s) / (capacity * factor)
+
+
+class Router:
+    """Chooses versions and targets.
+
+    Args:
+        directory: targets by service, pool and version.
+        own_region: region of this node.
+        own_domain: failure domain of this node.
+        is_rolled_back: function of service and version.
+    """
+
+    def __init__(
+        self, directory: Directory, own_region: str, own_domain: str, is_rolled_back
+    ):
+        self._directory = directory
+        self._own_region = own_region
+        self._own_domain = own_domain
+        self._is_rolled_back = is_rolled_back
+        self._spread: dict[str, int] = {}
+
+    def choose_version(self, route: CompiledRoute, sticky_value: bytes | None) -> str:
+        """Return the version that a request goes to.
+
+        The weight is kept exactly by an accumulator that starts at a random
+        phase, so that many nodes with few requests keep it together as well.
+        """
+        state = route.service
+        if not self._is_rollout_open(state):
+            return state.stable_version
+        if sticky_value is not None:
+            position = _sticky_position(state, sticky_value)
+            is_new = position < state.weight_permille
+        else:
+            is_new = self._take_turn(state)
+        return state.to_version if is_new else state.stable_version
+
+    def _is_rollout_open(self, state: ServiceState) -> bool:
+        if not state.to_version or not state.weight_permille:
+            return False
+        return not self._is_rolled_back(state.service, state.to_version)
+
+    def _take_turn(self, state: ServiceState) -> bool:
+        sum_permille = self._spread.get(state.service)
+        if sum_permille is None:
+            sum_permille = random.randrange(FULL_WEIGHT_PERMILLE)
+        sum_permille += state.weight_permille
+        is_new = sum_permille >= FULL_WEIGHT_PERMILLE
+        self._spread[state.service] = sum_permille % FULL_WEIGHT_PERMILLE
+        return is_new
+
+    def allowed_versions(self, route: CompiledRoute, first: str) -> list[str]:
+        """Return the versions that may serve a request, the chosen one first.
+
+        The stable version stands in when the new one has no backend server.
+        Versions that no document names serve only when those have none, and a
+        rolled back version never does.
+        """
+        state = route.service
+        versions = [first]
+        if state.stable_version != first:
+            versions.append(state.stable_version)
+        if self._is_rollout_open(state) and state.to_version not in versions:
+            versions.append(state.to_version)
+        return [
+            version
+            for version in versions
+            if not self._is_rolled_back(state.service, version)
+        ]
+
+    def choose_target(
+        self, route: CompiledRoute, version: str, excluded: set[str]
+    ) -> Target | None:
+        """Return a target for a request, or None when there is none.
+
+        Args:
+            route: the request's route.
+            version: the version chosen first.
+            excluded: backend servers already tried.
+        """
+        pool = route.pool
+        for allowed in self.allowed_versions(route, version):
+            targets = self._directory.targets(pool.service, pool.name, allowed)
+            if excluded:
+                targets = tuple(
+                    item for item in targets if item.server.server_id not in excluded
+                )
+            if targets:
+                return self._choose_among(route, targets)
+        return None
+
+    def choose_for_key(
+        self, route: CompiledRoute, version: str, key: bytes
+    ) -> Target | None:
+        """Return the one target that is responsible for an idempotency key."""
+        pool = route.pool
+        for allowed in self.allowed_versions(route, version):
+            targets = self._directory.targets(pool.service, pool.name, allowed)
+            if targets:
+                order = rendezvous_order(
+                    key.hex(), targets, lambda item: item.server.server_id
+                )
+                return order[0]
+        return None
+
+    def _choose_among(
+        self, route: CompiledRoute, targets: tuple[Target, ...]
+    ) -> Target:
+        now_s = time.monotonic()
+        healthy = [
+            item
+            for item in targets
+            if item.health.ejected_until_s <= now_s and not item.is_suspect
+        ]
+        if len(healthy) < len(targets) * route.pool.min_available_share:
+            healthy = list(targets)
+        limit = route.pool.max_in_flight
+        near = self._nearest_unsaturated(healthy or list(targets), limit, now_s)
+        if len(near) == 1:
+            return near[0]
+        first, second = random.sample(near, 2)
+        first_load = saturation(first, limit, now_s)
+        return first if first_load <= saturation(second, limit, now_s) else second
+
+    def _nearest_unsaturated(
+        self, targets: list[Target], limit: int | None, now_s: float
+    ) -> list[Target]:
+        """Return the targets of the nearest place that has room."""
+        if len(targets) == 1:
+            return targets
+        own_domain, own_region = self._own_domain, self._own_region
+        free = [item for item in targets if saturation(item, limit, now_s) < 1.0]
+        in_domain = [item for item in free if item.failure_domain == own_domain]
+        if in_domain:
+            return in_domain
+        in_region = [item for item in free if item.region == own_region]
+        return in_region or free or targets
+
+
+def _sticky_position(state: ServiceState, sticky_value: bytes) -> int:
+    key = f"{state.service}/{state.to_version}/".encode() + sticky_value
+    code = hashlib.blake2b(key, digest_size=8).digest()
+    return int.from_bytes(code, "big") % FULL_WEIGHT_PERMILLE
--- /dev/null
+++ b/guavagap/schemas/mesh.capnp
@@ -0,0 +1,138 @@
+@0xd3b1f0a6c25e9f41;
+
+# Messages between nodes. Field names are the camel-case forms of the fields of
+# the classes in guavagap.messages.
+
+struct Header { name @0 :Data; value @1 :Data; }
+
+struct BackendServer {
+  serverId @0 :Text;
+  service @1 :Text;
+  version @2 :Text;
+  pool @3 :Text;
+  address @4 :Text;
+  slots @5 :UInt16;
+  connections @6 :UInt16;
+  isDraining @7 :Bool;
+}
+
+struct Member {
+  nodeId @0 :Text;
+  incarnation @1 :UInt64;
+  state @2 :UInt8;
+  region @3 :Text;
+  failureDomain @4 :Text;
+  linkAddress @5 :Text;
+  meshAddress @6 :Text;
+  adminAddress @7 :Text;
+  isRelay @8 :Bool;
+  backendServers @9 :List(BackendServer);
+}
+
+struct Notice { service @0 :Text; version @1 :Text; reason @2 :Text; }
+
+struct PoisonMark { fingerprint @0 :Data; ttlMs @1 :UInt32; }
+
+struct Datagram {
+  senderId @0 :Text;
+  session @1 :UInt64;
+  sequence @2 :UInt32;
+  epoch @3 :UInt64;
+  noticesDigest @4 :UInt64;
+  members @5 :List(Member);
+  marks @6 :List(PoisonMark);
+  kind @7 :UInt8;
+  token @8 :UInt32;
+  targetAddress @9 :Text;
+  targetId @10 :Text;
+  headDigest @11 :UInt64;
+  membersDigest @12 :UInt64;
+}
+
+struct Hello { nodeId @0 :Text; nonce @1 :Data; protocol @2 :UInt16; }
+struct Proof { mac @0 :Data; }
+
+struct OpenStream {
+  streamId @0 :UInt64;
+  serverId @1 :Text;
+  method @2 :Data;
+  target @3 :Data;
+  headers @4 :List(Header);
+  timeoutMs @5 :UInt32;
+  body @6 :Data;
+  isComplete @7 :Bool;
+  isIdempotent @8 :Bool;
+  idempotencyKey @9 :Data;
+  fingerprint @10 :Data;
+}
+struct StreamData { streamId @0 :UInt64; body @1 :Data; isComplete @2 :Bool; }
+struct StreamCredit { streamId @0 :UInt64; creditBytes @1 :UInt32; }
+struct StreamReset { streamId @0 :UInt64; kind @1 :Text; detail @2 :Text; isNotRun @3 :Bool; }
+struct StreamAnswer {
+  streamId @0 :UInt64;
+  status @1 :UInt16;
+  headers @2 :List(Header);
+  body @3 :Data;
+  isComplete @4 :Bool;
+}
+
+struct PermitDemand { serverId @0 :Text; wanted @1 :UInt16; held @2 :UInt16; }
+struct PermitRequest { callId @0 :UInt64; demands @1 :List(PermitDemand); }
+struct PermitGrant { serverId @0 :Text; granted @1 :UInt16; ttlMs @2 :UInt32; }
+struct PermitReply { callId @0 :UInt64; grants @1 :List(PermitGrant); }
+struct PermitRevoke { serverId @0 :Text; }
+
+struct DeltaRequest { callId @0 :UInt64; baseEpoch @1 :UInt64; }
+struct DeltaReply { callId @0 :UInt64; isBusy @1 :Bool; compressed @2 :Data; rawBytes @3 :UInt32; redirectIds @4 :List(Text); }
+struct DeltaPush { compressed @0 :Data; rawBytes @1 :UInt32; rootId @2 :Text; baseEpoch @3 :UInt64; epoch @4 :UInt64; }
+
+struct MembersRequest { callId @0 :UInt64; own @1 :Member; }
+struct MembersReply { callId @0 :UInt64; members @1 :List(Member); }
+
+struct NoticesRequest { callId @0 :UInt64; notices @1 :List(Notice); }
+struct NoticesReply { callId @0 :UInt64; notices @1 :List(Notice); }
+
+struct EvidenceRow {
+  service @0 :Text;
+  version @1 :Text;
+  route @2 :Text;
+  serverId @3 :Text;
+  requests @4 :UInt32;
+  failures @5 :UInt32;
+  latencyBuckets @6 :List(UInt32);
+}
+struct EvidenceReport { sourceId @0 :Text; rows @1 :List(EvidenceRow); isSummed @2 :Bool; }
+
+struct KeyRecord {
+  key @0 :Data;
+  digest @1 :Data;
+  state @2 :UInt8;
+  ownerId @3 :Text;
+}
+struct KeyWitnessRequest { callId @0 :UInt64; record @1 :KeyRecord; isQuery @2 :Bool; }
+struct KeyWitnessReply { callId @0 :UInt64; isHeld @1 :Bool; record @2 :KeyRecord; }
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    proof @1 :Proof;
+    openStream @2 :OpenStream;
+    streamData @3 :StreamData;
+    streamCredit @4 :StreamCredit;
+    streamReset @5 :StreamReset;
+    streamAnswer @6 :StreamAnswer;
+    permitRequest @7 :PermitRequest;
+    permitReply @8 :PermitReply;
+    permitRevoke @9 :PermitRevoke;
+    deltaRequest @10 :DeltaRequest;
+    deltaReply @11 :DeltaReply;
+    deltaPush @12 :DeltaPush;
+    membersRequest @13 :MembersRequest;
+    membersReply @14 :MembersReply;
+    noticesRequest @15 :NoticesRequest;
+    noticesReply @16 :NoticesReply;
+    evidenceReport @17 :EvidenceReport;
+    keyWitnessRequest @18 :KeyWitnessRequest;
+    keyWitnessReply @19 :KeyWitnessReply;
+  }
+}
--- /dev/null
+++ b/guavagap/settings.py
@@ -0,0 +1,230 @@
+"""Settings of the daemon: flags and ``GUAVAGAP_*`` environment variables."""
+
+import ipaddress
+import os
+import re
+from typing import NamedTuple
+from urllib.parse import urlsplit
+
+import click
+
+from guavagap.addresses import Address, parse_address
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.logs import LOG_LEVELS
+
+__all__ = [
+    "MESH_KEY_VARIABLE",
+    "Settings",
+    "daemon_options",
+    "parse_platform_url",
+    "settings_from_options",
+]
+
+MESH_KEY_VARIABLE = "GUAVAGAP_MESH_KEY"
+MESH_KEY_MIN_BYTES = 16
+MESH_KEY_MAX_BYTES = 64
+_NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?")
+
+
+class Settings(NamedTuple):
+    """The checked settings of one daemon."""
+
+    node_id: str
+    region: str
+    failure_domain: str
+    caller_address: Address
+    link_address: Address
+    mesh_address: Address
+    admin_address: Address
+    platform_address: Address
+    peer_addresses: tuple[Address, ...]
+    mesh_key_bytes: bytes
+    log_level: str
+    drain_timeout_s: float
+    probe_interval_s: float
+    suspicion_timeout_s: float
+    relay_lease_ttl_s: float
+    permit_ttl_s: float
+    caller_read_timeout_s: float
+    max_body_bytes: int
+    max_caller_connections: int
+    allow_fault_injection: bool
+
+
+class _AddressType(click.ParamType):
+    name = "ip:port"
+
+    def convert(self, value, param, ctx):
+        if isinstance(value, Address):
+            return value
+        try:
+            return parse_address(value)
+        except ValueError:
+            self.fail(f"{value!r}: allowed is IP:PORT, an IP number", param, ctx)
+
+
+class _NameType(click.ParamType):
+    name = "name"
+
+    def convert(self, value, param, ctx):
+        if _NAME_PATTERN.fullmatch(value):
+            return value
+        self.fail(
+            f"{value!r}: allowed are 1 to 64 of a-z, 0-9, '.' and '-'", param, ctx
+        )
+
+
+class _PlatformUrlType(click.ParamType):
+    name = "http://ip:port"
+
+    def convert(self, value, param, ctx):
+        if isinstance(value, Address):
+            return value
+        try:
+            return parse_platform_url(value)
+        except ValueError:
+            self.fail(f"{value!r}: allowed is http://IP:PORT", param, ctx)
+
+
+def parse_platform_url(url: str) -> Address:
+    """Return the address of an ``http://IP:PORT`` URL.
+
+    Raises:
+        ValueError: another scheme, a path, or a host that is no IP number.
+    """
+    parts = urlsplit(url)
+    if parts.scheme != "http" or parts.path not in ("", "/") or parts.query:
+        raise ValueError(url)
+    ipaddress.ip_address(parts.hostname or "")
+    return parse_address(parts.netloc)
+
+
+def _seconds(low: float, high: float) -> click.FloatRange:
+    return click.FloatRange(low, high)
+
+
+_OPTIONS = (
+    click.option("--node-id", required=True, type=_NameType()),
+    click.option("--region", required=True, type=_NameType()),
+    click.option("--failure-domain", required=True, type=_NameType()),
+    click.option(
+        "--caller-address",
+        required=True,
+        type=_AddressType(),
+        help="Where callers send their HTTP requests.",
+    ),
+    click.option(
+        "--link-address",
+        required=True,
+        type=_AddressType(),
+        help="TCP between nodes.",
+    ),
+    click.option(
+        "--mesh-address",
+        required=True,
+        type=_AddressType(),
+        help="UDP between nodes.",
+    ),
+    click.option(
+        "--admin-address",
+        required=True,
+        type=_AddressType(),
+        help="HTTP for status, metrics and announcements of backend servers.",
+    ),
+    click.option(
+        "--platform-url",
+        "platform_address",
+        required=True,
+        type=_PlatformUrlType(),
+        help="The platform's key-value service.",
+    ),
+    click.option(
+        "--peer-addresses",
+        multiple=True,
+        type=_AddressType(),
+        help="Mesh (UDP) addresses of some other nodes.",
+    ),
+    click.option(
+        "--log-level", default="info", type=click.Choice(LOG_LEVELS), show_default=True
+    ),
+    click.option(
+        "--drain-timeout-s", default=20.0, type=_seconds(0, 3600), show_default=True
+    ),
+    click.option(
+        "--probe-interval-s", default=1.0, type=_seconds(0.05, 60), show_default=True
+    ),
+    click.option(
+        "--suspicion-timeout-s",
+        default=4.0,
+        type=_seconds(0.1, 300),
+        show_default=True,
+    ),
+    click.option(
+        "--relay-lease-ttl-s",
+        default=6.0,
+        type=_seconds(0.5, 300),
+        show_default=True,
+    ),
+    click.option(
+        "--permit-ttl-s", default=6.0, type=_seconds(0.5, 60), show_default=True
+    ),
+    click.option(
+        "--caller-read-timeout-s",
+        default=30.0,
+        type=_seconds(0.1, 3600),
+        show_default=True,
+    ),
+    click.option(
+        "--max-body-bytes",
+        default=64 * 1024 * 1024,
+        type=click.IntRange(1024, 2**40),
+        show_default=True,
+    ),
+    click.option(
+        "--max-caller-connections",
+        default=2000,
+        type=click.IntRange(1, 100_000),
+        show_default=True,
+    ),
+    click.option(
+        "--allow-fault-injection",
+        is_flag=True,
+        help="For tests: let the admin port cut this node off from others.",
+    ),
+)
+
+
+def daemon_options(command):
+    """Add every setting of the daemon to a ``click`` command."""
+    for option in reversed(_OPTIONS):
+        command = option(command)
+    return command
+
+
+def _read_mesh_key() -> bytes:
+    key_bytes = os.environ.get(MESH_KEY_VARIABLE, "").encode()
+    if MESH_KEY_MIN_BYTES <= len(key_bytes) <= MESH_KEY_MAX_BYTES:
+        return key_bytes
+    raise GuavagapError(
+        ErrorKind.SETTING_INVALID,
+        f"{MESH_KEY_VARIABLE} has {len(key_bytes)} bytes: allowed are"
+        f" {MESH_KEY_MIN_BYTES} to {MESH_KEY_MAX_BYTES}",
+    )
+
+
+def settings_from_options(options: dict) -> Settings:
+    """Join the parsed options with the mesh key from the environment.
+
+    Raises:
+        GuavagapError: SETTING_INVALID, with the setting, its value (never the
+            key's) and what is allowed.
+    """
+    options = dict(options)
+    options["peer_addresses"] = tuple(options["peer_addresses"])
+    if options["suspicion_timeout_s"] <= options["probe_interval_s"]:
+        raise GuavagapError(
+            ErrorKind.SETTING_INVALID,
+            f"--suspicion-timeout-s {options['suspicion_timeout_s']}: allowed is"
+            f" more than --probe-interval-s ({options['probe_interval_s']})",
+        )
+    return Settings(mesh_key_bytes=_read_mesh_key(), **options)
--- /dev/null
+++ b/guavagap/shutdown.py
@@ -0,0 +1,33 @@
+"""Waiting for SIGTERM or SIGINT inside a ``curio`` program."""
+
+import signal
+import socket as stdlib_socket
+from contextlib import contextmanager
+
+from curio.io import Socket
+
+__all__ = ["open_shutdown_signal"]
+
+
+@contextmanager
+def open_shutdown_signal():
+    """Yield a socket that becomes readable when the process is asked to end."""
+    reader, writer = stdlib_socket.socketpair()
+    writer.setblocking(False)
+    former_fd = signal.set_wakeup_fd(writer.fileno())
+    former = {
+        number: signal.signal(number, _ignore)
+        for number in (signal.SIGTERM, signal.SIGINT)
+    }
+    try:
+        yield Socket(reader)
+    finally:
+        for number, handler in former.items():
+            signal.signal(number, handler)
+        signal.set_wakeup_fd(former_fd)
+        reader.close()
+        writer.close()
+
+
+def _ignore(number, frame) -> None:
+    """Leave the work to the reader of the wake-up socket."""
--- /dev/null
+++ b/guavagap/streams.py
@@ -0,0 +1,111 @@
+"""Streams of a link: one forwarded request each, with credit for its body.
+
+Each end may send ``INITIAL_CREDIT_BYTES`` of body before the other grants
+more, so a slow reader holds back the sender and memory stays bounded.
+"""
+
+import curio
+
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.messages import StreamAnswer, StreamCredit, StreamData, StreamReset
+
+__all__ = ["INITIAL_CREDIT_BYTES", "MAX_CHUNK_BYTES", "Stream"]
+
+INITIAL_CREDIT_BYTES = 262_144
+CREDIT_STEP_BYTES = 65_536
+MAX_CHUNK_BYTES = 65_536
+
+
+class Stream:
+    """One end of a forwarded request.
+
+    Attributes:
+        reset: the frame that ended the stream early, if one did.
+    """
+
+    def __init__(self, link, stream_id: int):
+        self.link = link
+        self.stream_id = stream_id
+        self.reset: StreamReset | None = None
+        self._inbox = curio.Queue()
+        self._send_credit_bytes = INITIAL_CREDIT_BYTES
+        self._receive_credit_bytes = INITIAL_CREDIT_BYTES
+        self._consumed_bytes = 0
+        self._credit_arrived = curio.Event()
+
+    async def deliver(self, message) -> None:
+        """Take one frame from the link's receiving task.
+
+        Raises:
+            GuavagapError: FRAME_INVALID when the sender exceeds its credit.
+        """
+        if isinstance(message, StreamCredit):
+            self._send_credit_bytes += message.credit_bytes
+            await self._credit_arrived.set()
+            return
+        if isinstance(message, StreamReset):
+            self.reset = message
+            await self._credit_arrived.set()
+        if isinstance(message, (StreamData, StreamAnswer)):
+            self._receive_credit_bytes -= len(message.body)
+            if self._receive_credit_bytes < 0:
+                raise GuavagapError(ErrorKind.FRAME_INVALID, "more body than credit")
+        await self._inbox.put(message)
+
+    async def end_with_link(self) -> None:
+        """End the stream because its link has ended."""
+        await self.deliver(
+            StreamReset(self.stream_id, ErrorKind.LINK_LOST.value, "link lost", False)
+        )
+
+    async def receive(self):
+        """Return the next StreamData, StreamAnswer or StreamReset."""
+        return await self._inbox.get()
+
+    def has_message(self) -> bool:
+        """Return whether :meth:`receive` would not wait."""
+        return not self._inbox.empty()
+
+    async def consumed(self, size_bytes: int) -> None:
+        """Grant credit for body bytes that have been passed on."""
+        self._consumed_bytes += size_bytes
+        if self._consumed_bytes < CREDIT_STEP_BYTES:
+            return
+        credit_bytes, self._consumed_bytes = self._consumed_bytes, 0
+        self._receive_credit_bytes += credit_bytes
+        await self.link.send(StreamCredit(self.stream_id, credit_bytes))
+
+    async def take_credit(self, size_bytes: int) -> None:
+        """Wait until that many body bytes may be sent.
+
+        Raises:
+            GuavagapError: LINK_LOST when the other end has reset the stream.
+        """
+        while self._send_credit_bytes < size_bytes and self.reset is None:
+            self._credit_arrived.clear()
+            await self._credit_arrived.wait()
+        if self.reset is not None:
+            raise GuavagapError(ErrorKind.LINK_LOST, self.reset.detail)
+        self._send_credit_bytes -= size_bytes
+
+    async def send_body(self, body: bytes, is_complete: bool) -> None:
+        """Send body bytes as credit allows."""
+        view = memoryview(body)
+        while len(view) > MAX_CHUNK_BYTES:
+            await self._send_chunk(bytes(view[:MAX_CHUNK_BYTES]), False)
+            view = view[MAX_CHUNK_BYTES:]
+        await self._send_chunk(bytes(view), is_complete)
+
+    async def _send_chunk(self, chunk: bytes, is_complete: bool) -> None:
+        await self.take_credit(len(chunk))
+        await self.link.send(StreamData(self.stream_id, chunk, is_complete))
+
+    async def send_reset(self, kind: ErrorKind, detail: str, is_not_run: bool) -> None:
+        """Tell the other end that the stream cannot be finished."""
+        await self.link.send(
+            StreamReset(self.stream_id, kind.value, detail, is_not_run)
+        )
+
+    def close(self) -> None:
+        """Forget the stream; frames that arrive late are dropped."""
+        self.link.forget_stream(self.stream_id)
