--- /dev/null
+++ b/guavagap/tasks.py
@@ -0,0 +1,81 @@
+"""Ownership of the tasks that serve connections and peers."""
+
+from contextlib import asynccontextmanager
+
+import curio
+
+from guavagap.errors import GuavagapError, answer_for
+from guavagap.logs import get_logger
+
+__all__ = ["TaskScope", "open_task_scope"]
+
+log = get_logger()
+
+ROLE_RESTART_S = 1.0
+
+
+class TaskScope:
+    """A set of running tasks; a failed one is logged and forgotten."""
+
+    def __init__(self, name: str):
+        self.name = name
+        self._tasks: set[curio.Task] = set()
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    async def spawn(self, function, *args) -> curio.Task:
+        """Start ``function(*args)`` as a task owned by this scope."""
+        task = await curio.spawn(self._own, function, args, daemon=True)
+        self._tasks.add(task)
+        return task
+
+    async def _own(self, function, args) -> None:
+        try:
+            await self._run(function, args)
+        finally:
+            self._tasks.discard(await curio.current_task())
+
+    async def _run(self, function, args) -> None:
+        try:
+            await function(*args)
+        except curio.CancelledError:
+            raise
+        except GuavagapError as error:
+            write = getattr(log, answer_for(error.kind).log_level)
+            write("task ended", scope=self.name, kind=error.kind.value, why=str(error))
+        except Exception as error:
+            log.error(
+                "task failed",
+                scope=self.name,
+                task=getattr(function, "__qualname__", repr(function)),
+                exc_info=error,
+            )
+
+    async def spawn_role(self, function, *args) -> curio.Task:
+        """Start a task that is meant to run for ever; restart it when it fails."""
+        return await self.spawn(self._run_role, function, args)
+
+    async def _run_role(self, function, args) -> None:
+        while True:
+            await self._run(function, args)
+            log.error("role restarted", task=function.__qualname__)
+            await curio.sleep(ROLE_RESTART_S)
+
+    async def cancel_all(self) -> None:
+        """Cancel every task of the scope and wait until each has ended."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            await task.cancel(blocking=False)
+        for task in tasks:
+            await task.wait()
+
+
+@asynccontextmanager
+async def open_task_scope(name: str):
+    """Yield a :class:`TaskScope` and cancel what is left in it at the end."""
+    scope = TaskScope(name)
+    try:
+        yield scope
+    finally:
+        await scope.cancel_all()
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, and the demonstration that uses them."""
--- /dev/null
+++ b/standins/backend_server.py
@@ -0,0 +1,245 @@
+"""Stand-in for a backend server: announces itself, runs requests, keeps a ledger.
+
+Each run is entered in a ledger with the request's ``x-test-id``; ``GET /_ledger``
+returns it, and is the judge of what was run how often. Request headers make a
+run misbehave: ``x-delay-ms``, ``x-status``, ``x-answer-bytes``, ``x-crash`` (the
+process ends), ``x-cut`` (the connection closes in mid answer), ``x-refuse`` (not
+run, in the agreed way). Flags make every run of this server slow or failing.
+"""
+
+import json
+import os
+import random
+
+import click
+import curio
+import h11
+
+from guavagap.addresses import Address, parse_address
+from guavagap.errors import GuavagapError
+from guavagap.exchange import RUN_HEADER, RUN_NOT_RUN
+from guavagap.http1 import (
+    Http1Connection,
+    RequestHead,
+    header_value,
+    open_listener,
+    read_request_head,
+)
+from guavagap.http_messages import HttpRequest, accept_connections, call_http
+from guavagap.shutdown import open_shutdown_signal
+from guavagap.tasks import open_task_scope
+
+__all__ = ["BackendServerStandIn", "main"]
+
+RENEW_INTERVAL_S = 2.0
+CHUNK_BYTES = 16_384
+
+
+class Behaviour:
+    """How every run of this server behaves."""
+
+    def __init__(self, delay_ms: float, failing_share: float, failing_path: str):
+        self.delay_ms = delay_ms
+        self.failing_share = failing_share
+        self.failing_path = failing_path.encode()
+
+    def fails(self, target: bytes) -> bool:
+        """Return whether this run fails."""
+        if not target.startswith(self.failing_path):
+            return False
+        return random.random() < self.failing_share
+
+
+class BackendServerStandIn:
+    """Runs requests, up to a number of slots at once."""
+
+    def __init__(self, server_id: str, version: str, slots: int, behaviour: Behaviour):
+        self.server_id = server_id
+        self.version = version
+        self.slots = slots
+        self.behaviour = behaviour
+        self.in_flight = 0
+        self.peak_in_flight = 0
+        self.connections = 0
+        self.peak_connections = 0
+        self.ledger: dict[str, int] = {}
+
+    async def serve(self, sock) -> None:
+        """Serve one connection."""
+        connection = Http1Connection(sock, h11.SERVER)
+        self.connections += 1
+        self.peak_connections = max(self.peak_connections, self.connections)
+        try:
+            while True:
+                head = await read_request_head(connection)
+                if head is None or not await self._serve_request(connection, head):
+                    return
+        except (OSError, h11.ProtocolError, GuavagapError):
+            return
+        finally:
+            self.connections -= 1
+            await connection.close()
+
+    async def _serve_request(self, connection, head: RequestHead) -> bool:
+        if head.target == b"/_ledger":
+            return await self._send_ledger(connection)
+        if header_value(head.headers, b"x-crash") is not None:
+            os._exit(70)
+        body_bytes = await self._read_body(connection)
+        if header_value(head.headers, b"x-refuse") is not None:
+            return await self._refuse(connection)
+        return await self._run(connection, head, body_bytes)
+
+    async def _read_body(self, connection) -> int:
+        size_bytes = 0
+        while True:
+            event = await connection.next_event()
+            if type(event) is not h11.Data:
+                if type(event) is not h11.EndOfMessage:
+                    raise h11.RemoteProtocolError("request cut short")
+                return size_bytes
+            size_bytes += len(event.data)
+
+    async def _run(self, connection, head: RequestHead, body_bytes: int) -> bool:
+        test_id = header_value(head.headers, b"x-test-id") or b"-"
+        self.ledger[test_id.decode()] = self.ledger.get(test_id.decode(), 0) + 1
+        self.in_flight += 1
+        self.peak_in_flight = max(self.peak_in_flight, self.in_flight)
+        try:
+            delay_ms = float(header_value(head.headers, b"x-delay-ms") or 0)
+            delay_ms += self.behaviour.delay_ms
+            if delay_ms:
+                await curio.sleep(delay_ms / 1000)
+            return await self._answer(connection, head, test_id, body_bytes)
+        finally:
+            self.in_flight -= 1
+
+    async def _answer(self, connection, head, test_id: bytes, body_bytes: int) -> bool:
+        status = int(header_value(head.headers, b"x-status") or 200)
+        if self.behaviour.fails(head.target):
+            status = 500
+        answer_bytes = int(header_value(head.headers, b"x-answer-bytes") or 2048)
+        headers = [
+            (b"content-length", b"%d" % answer_bytes),
+            (b"x-test-id", test_id),
+            (b"x-server-id", self.server_id.encode()),
+            (b"x-version", self.version.encode()),
+            (b"x-body-bytes", b"%d" % body_bytes),
+            (b"guavagap-load", b"%d" % max(0, self.in_flight - 1)),
+        ]
+        response = h11.Response(status_code=status, headers=headers)
+        if header_value(head.headers, b"x-cut") is not None:
+            await connection.send(response, h11.Data(data=b"x" * (answer_bytes // 2)))
+            return False
+        body = b"" if head.method == b"HEAD" else b"x" * answer_bytes
+        events = [h11.Data(data=body)] if body else []
+        await connection.send(response, *events, h11.EndOfMessage())
+        return connection.start_next_cycle()
+
+    async def _refuse(self, connection) -> bool:
+        headers = [(b"content-length", b"0"), (RUN_HEADER, RUN_NOT_RUN)]
+        await connection.send(
+            h11.Response(status_code=503, headers=headers), h11.EndOfMessage()
+        )
+        return connection.start_next_cycle()
+
+    async def _send_ledger(self, connection) -> bool:
+        await self._read_body(connection)
+        body = json.dumps(
+            {
+                "runs": self.ledger,
+                "peak_in_flight": self.peak_in_flight,
+                "peak_connections": self.peak_connections,
+            }
+        ).encode()
+        headers = [(b"content-length", b"%d" % len(body))]
+        await connection.send(
+            h11.Response(status_code=200, headers=headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+        return connection.start_next_cycle()
+
+
+async def _announce_forever(admin: Address, server_id: str, announcement: dict) -> None:
+    body = json.dumps(announcement).encode()
+    target = f"/backend-servers/{server_id}".encode()
+    while True:
+        try:
+            await call_http(admin, HttpRequest(b"PUT", target, [], body), 2.0)
+            await curio.sleep(RENEW_INTERVAL_S)
+        except GuavagapError:
+            await curio.sleep(0.1)
+
+
+async def _run_server(server, address: Address, admin, announcement: dict) -> None:
+    with open_shutdown_signal() as shutdown:
+        await _run_until(shutdown, server, address, admin, announcement)
+
+
+async def _run_until(shutdown, server, address, admin, announcement) -> None:
+    async with open_task_scope("backend-server") as scope:
+        listener = open_listener(address)
+        await scope.spawn(accept_connections, listener, scope, server.serve)
+        if admin is None:
+            await shutdown.recv(1)
+            return
+        announcer = await scope.spawn(
+            _announce_forever, admin, server.server_id, announcement
+        )
+        await shutdown.recv(1)
+        await announcer.cancel()
+        target = f"/backend-servers/{server.server_id}".encode()
+        try:
+            await call_http(admin, HttpRequest(b"DELETE", target, []), 2.0)
+        except GuavagapError:
+            return
+        while server.in_flight:
+            await curio.sleep(0.05)
+
+
+@click.command()
+@click.option("--address", required=True)
+@click.option("--admin-address", default=None)
+@click.option("--server-id", required=True)
+@click.option("--service", default="catalogue")
+@click.option("--version", default="v1")
+@click.option("--pool", default="main")
+@click.option("--slots", default=9)
+@click.option("--connections", default=110)
+@click.option("--ttl-s", default=8.0)
+@click.option("--delay-ms", default=0.0)
+@click.option("--failing-share", default=0.0)
+@click.option("--failing-path", default="/")
+def main(
+    address,
+    admin_address,
+    server_id,
+    service,
+    version,
+    pool,
+    slots,
+    connections,
+    ttl_s,
+    delay_ms,
+    failing_share,
+    failing_path,
+):
+    """Run a stand-in backend server."""
+    behaviour = Behaviour(delay_ms, failing_share, failing_path)
+    server = BackendServerStandIn(server_id, version, slots, behaviour)
+    announcement = {
+        "service": service,
+        "version": version,
+        "pool": pool,
+        "address": address,
+        "slots": slots,
+        "connections": connections,
+        "ttl_s": ttl_s,
+    }
+    admin = None if admin_address is None else parse_address(admin_address)
+    curio.run(_run_server, server, parse_address(address), admin, announcement)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,367 @@
+"""Starts a small mesh of real processes on loopback, for tests, demo and bench."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import contextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+__all__ = ["Fleet", "FleetNode", "FleetServer", "HttpReply", "open_fleet", "wait_until"]
+
+MESH_KEY = "an-example-mesh-key-of-enough-bytes"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 30.0
+CALL_TIMEOUT_S = 15.0
+
+
+class HttpReply(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class FleetNode(NamedTuple):
+    """One running ``guavagapd``."""
+
+    node_id: str
+    failure_domain: str
+    caller_port: int
+    link_port: int
+    mesh_port: int
+    admin_port: int
+    process: subprocess.Popen
+    log_path: Path
+
+
+class FleetServer(NamedTuple):
+    """One running stand-in backend server."""
+
+    server_id: str
+    service: str
+    version: str
+    port: int
+    node_id: str
+    process: subprocess.Popen
+
+
+def free_ports(count: int) -> list[int]:
+    """Return TCP ports that are free now, for UDP as well."""
+    sockets = []
+    try:
+        while len(sockets) < count:
+            tcp = socket.socket()
+            tcp.bind(("127.0.0.1", 0))
+            sockets.append(tcp)
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def wait_until(condition, timeout_s: float = START_TIMEOUT_S, what: str = "condition"):
+    """Return the first true value of ``condition()``.
+
+    Raises:
+        TimeoutError: the condition stayed false.
+    """
+    deadline_s = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > deadline_s:
+            raise TimeoutError(f"{what}: not reached in {timeout_s} s")
+        time.sleep(0.05)
+
+
+def http_call(
+    port: int,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    timeout_s: float = CALL_TIMEOUT_S,
+) -> HttpReply:
+    """Make one call on a new connection."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
+    try:
+        connection.request(method, path, body or None, headers or {})
+        response = connection.getresponse()
+        fields = {name.lower(): value for name, value in response.getheaders()}
+        return HttpReply(response.status, fields, response.read())
+    finally:
+        connection.close()
+
+
+class Fleet:
+    """Processes of one mesh; ended with the context that opened it.
+
+    Args:
+        folder: logs and documents of this run.
+        node_options: further flags of every node.
+    """
+
+    def __init__(self, folder: Path, node_options: dict[str, str] | None = None):
+        self.folder = folder
+        self.nodes: dict[str, FleetNode] = {}
+        self.servers: dict[str, FleetServer] = {}
+        self.platform_port = 0
+        self.platform: subprocess.Popen | None = None
+        self._node_options = node_options or {}
+        self._processes: list[subprocess.Popen] = []
+        self._ports: dict[str, list[int]] = {}
+
+    def _spawn(
+        self, arguments: list[str], log_path: Path, env=None
+    ) -> subprocess.Popen:
+        with log_path.open("ab") as log_file:
+            process = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=log_file,
+                stderr=log_file,
+                env={**os.environ, **(env or {})},
+            )
+        self._processes.append(process)
+        return process
+
+    def start_platform(self) -> None:
+        """Start the stand-in platform, on the same port as before."""
+        if not self.platform_port:
+            (self.platform_port,) = free_ports(1)
+        self.platform = self._spawn(
+            [
+                "-m",
+                "standins.platform_server",
+                "--address",
+                f"127.0.0.1:{self.platform_port}",
+            ],
+            self.folder / "platform.log",
+        )
+        wait_until(lambda: _is_open(self.platform_port), what="platform")
+
+    def start_node(
+        self,
+        node_id: str,
+        failure_domain: str,
+        region: str = "r1",
+        peers: tuple[str, ...] = (),
+        key: str = MESH_KEY,
+        **options: str,
+    ) -> FleetNode:
+        """Start a node; a restart keeps its ports."""
+        ports = self._ports.setdefault(node_id, free_ports(4))
+        caller, link, mesh, admin = ports
+        arguments = {
+            "--node-id": node_id,
+            "--region": region,
+            "--failure-domain": failure_domain,
+            "--caller-address": f"127.0.0.1:{caller}",
+            "--link-address": f"127.0.0.1:{link}",
+            "--mesh-address": f"127.0.0.1:{mesh}",
+            "--admin-address": f"127.0.0.1:{admin}",
+            "--platform-url": f"http://127.0.0.1:{self.platform_port}",
+            **self._node_options,
+            **{f"--{name.replace('_', '-')}": value for name, value in options.items()},
+        }
+        flat = [part for pair in arguments.items() for part in pair]
+        for peer in peers:
+            flat += ["--peer-addresses", f"127.0.0.1:{self._ports[peer][2]}"]
+        log_path = self.folder / f"{node_id}.log"
+        process = self._spawn(
+            ["-m", "guavagap.daemon", *flat], log_path, {"GUAVAGAP_MESH_KEY": key}
+        )
+        node = FleetNode(
+            node_id, failure_domain, caller, link, mesh, admin, process, log_path
+        )
+        self.nodes[node_id] = node
+        return node
+
+    def start_server(
+        self,
+        server_id: str,
+        node_id: str,
+        service: str = "catalogue",
+        version: str = "v1",
+        **options: str,
+    ) -> FleetServer:
+        """Start a backend server beside a node."""
+        (port,) = free_ports(1)
+        arguments = [
+            "-m",
+            "standins.backend_server",
+            "--address",
+            f"127.0.0.1:{port}",
+            "--admin-address",
+            f"127.0.0.1:{self.nodes[node_id].admin_port}",
+            "--server-id",
+            server_id,
+            "--service",
+            service,
+            "--version",
+            version,
+        ]
+        for name, value in options.items():
+            arguments += [f"--{name.replace('_', '-')}", str(value)]
+        process = self._spawn(arguments, self.folder / f"{server_id}.log")
+        server = FleetServer(server_id, service, version, port, node_id, process)
+        self.servers[server_id] = server
+        return server
+
+    def status(self, node_id: str) -> dict | None:
+        """Return a node's status, None when it does not answer."""
+        try:
+            reply = http_call(
+                self.nodes[node_id].admin_port, "GET", "/status", timeout_s=2.0
+            )
+            return json.loads(reply.body)
+        except (OSError, http.client.HTTPException, ValueError):
+            return None
+
+    def metrics(self, node_id: str) -> dict[str, float]:
+        """Return a node's metrics by name and labels."""
+        reply = http_call(self.nodes[node_id].admin_port, "GET", "/metrics")
+        values = {}
+        for line in reply.body.decode().splitlines():
+            if line and not line.startswith("#"):
+                name, _, value = line.rpartition(" ")
+                values[name] = float(value)
+        return values
+
+    def call(
+        self,
+        node_id: str,
+        path: str,
+        method: str = "GET",
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        host: str = "shop.example",
+    ) -> HttpReply:
+        """Make one call as a caller of a node."""
+        fields = {"Host": host, **(headers or {})}
+        return http_call(self.nodes[node_id].caller_port, method, path, body, fields)
+
+    def ledger(self, server_id: str) -> dict:
+        """Return the run ledger of a backend server."""
+        return json.loads(
+            http_call(self.servers[server_id].port, "GET", "/_ledger").body
+        )
+
+    def set_platform(self, **knobs) -> None:
+        """Change how the stand-in platform behaves."""
+        http_call(self.platform_port, "PUT", "/knobs", json.dumps(knobs).encode())
+
+    def platform_counts(self) -> dict[str, int]:
+        """Return the platform's calls by kind."""
+        return json.loads(http_call(self.platform_port, "GET", "/counts").body)
+
+    def cli(self, *arguments: str, timeout_s: float = 60.0):
+        """Run the command line; return the completed process."""
+        return subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "guavagap.cli",
+                "--platform-url",
+                f"http://127.0.0.1:{self.platform_port}",
+                *arguments,
+            ],
+            capture_output=True,
+            text=True,
+            timeout=timeout_s,
+        )
+
+    def block(self, node_id: str, other_ids: list[str], platform: bool = False) -> None:
+        """Cut a node off from others (and the platform); an empty list heals."""
+        addresses = []
+        for other_id in other_ids:
+            other = self.nodes[other_id]
+            addresses += [
+                f"127.0.0.1:{port}" for port in (other.link_port, other.mesh_port)
+            ]
+        if platform:
+            addresses.append(f"127.0.0.1:{self.platform_port}")
+        body = json.dumps({"blocked": addresses}).encode()
+        http_call(self.nodes[node_id].admin_port, "PUT", "/faults", body)
+
+    def wait_ready(self, *node_ids: str, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until nodes serve callers."""
+        for node_id in node_ids or tuple(self.nodes):
+            wait_until(
+                lambda: (self.status(node_id) or {}).get("is_ready"),
+                timeout_s,
+                f"{node_id} ready",
+            )
+
+    def wait_epoch(self, epoch: int, *node_ids: str, timeout_s: float = 30.0) -> None:
+        """Wait until nodes have applied an epoch."""
+        for node_id in node_ids or tuple(self.nodes):
+            wait_until(
+                lambda: (self.status(node_id) or {}).get("epoch", 0) >= epoch,
+                timeout_s,
+                f"{node_id} at epoch {epoch}",
+            )
+
+    def wait_targets(self, service: str, count: int, *node_ids: str) -> None:
+        """Wait until nodes know that many backend servers of a service."""
+
+        def known(node_id: str) -> bool:
+            pools = (self.status(node_id) or {}).get("pools", {})
+            return len(pools.get(f"{service}/main", [])) == count
+
+        for node_id in node_ids or tuple(self.nodes):
+            wait_until(
+                lambda: known(node_id), what=f"{node_id} knows {count} of {service}"
+            )
+
+    def kill(self, process: subprocess.Popen) -> None:
+        """End a process at once."""
+        process.kill()
+        process.wait(STOP_TIMEOUT_S)
+
+    def stop(self, process: subprocess.Popen) -> int:
+        """End a process gracefully; return its exit code."""
+        process.send_signal(signal.SIGTERM)
+        return process.wait(STOP_TIMEOUT_S)
+
+    def close(self) -> None:
+        """End every process."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.kill()
+        for process in self._processes:
+            process.wait(STOP_TIMEOUT_S)
+
+
+def _is_open(port: int) -> bool:
+    try:
+        socket.create_connection(("127.0.0.1", port), 0.2).close()
+        return True
+    except OSError:
+        return False
+
+
+@contextmanager
+def open_fleet(folder: Path, **node_options: str):
+    """Yield a fleet with a running platform; end every process afterwards.
+
+    Args:
+        folder: an existing folder for logs.
+        node_options: flags of every node, without dashes.
+    """
+    options = {
+        f"--{name.replace('_', '-')}": value for name, value in node_options.items()
+    }
+    fleet = Fleet(folder, options)
+    try:
+        fleet.start_platform()
+        yield fleet
+    finally:
+        fleet.close()
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,104 @@
+"""The whole path on real processes."""
+
+import os
+import signal
+import subprocess
+import sys
+
+from tests.cases import FleetTestCase
+
+
+class WholePathTests(FleetTestCase):
+    def test_request_reaches_a_backend_server_through_another_node(self):
+        fleet = self.start_mesh(self.open_fleet(), {"a1": "da", "b1": "db"})
+        fleet.start_server("s1", "b1")
+        fleet.wait_targets("catalogue", 1)
+        reply = fleet.call("a1", "/catalogue/1", headers={"x-test-id": "t1"})
+        self.assertEqual((200, "s1"), (reply.status, reply.headers["x-server-id"]))
+        self.assertEqual(1, fleet.ledger("s1")["runs"]["t1"])
+
+    def test_direct_path_opens_after_the_first_request(self):
+        fleet = self.start_mesh(self.open_fleet(), {"a1": "da", "b1": "db"})
+        fleet.start_server("s1", "b1")
+        fleet.wait_targets("catalogue", 1)
+        for number in range(30):
+            self.assertEqual(200, fleet.call("a1", f"/catalogue/{number}").status)
+        metrics = fleet.metrics("a1")
+        forwarded = metrics['guavagap_requests_total{what="path_forwarded"}']
+        direct = metrics['guavagap_requests_total{what="path_direct"}']
+        self.assertEqual(30, forwarded + direct)
+        self.assertTrue(direct >= 20, metrics)
+
+    def test_uncovered_request_is_answered_as_not_run(self):
+        fleet = self.start_mesh(self.open_fleet(), {"a1": "da"})
+        reply = fleet.call("a1", "/elsewhere")
+        self.assertEqual(404, reply.status)
+        self.assertEqual("not-run", reply.headers["guavagap-run"])
+
+    def test_sigterm_ends_with_exit_code_0(self):
+        fleet = self.start_mesh(self.open_fleet(), {"a1": "da"})
+        self.assertEqual(0, fleet.stop(fleet.nodes["a1"].process))
+
+    def test_log_is_one_line_of_pairs_and_never_holds_the_key(self):
+        fleet = self.start_mesh(self.open_fleet(log_level="debug"), {"a1": "da"})
+        text = fleet.nodes["a1"].log_path.read_text()
+        self.assertNotIn("an-example-mesh-key", text)
+        for line in text.splitlines():
+            self.assertTrue(line.startswith("time="), line)
+            self.assertIn("event=", line)
+            self.assertIn("node=a1", line)
+
+
+class SettingsTests(FleetTestCase):
+    def run_daemon(self, *arguments: str, key: str = "0123456789abcdef"):
+        return subprocess.run(
+            [sys.executable, "-m", "guavagap.daemon", *arguments],
+            capture_output=True,
+            text=True,
+            env={**os.environ, "GUAVAGAP_MESH_KEY": key},
+            timeout=20,
+        )
+
+    def assert_refused(self, result, *words: str):
+        self.assertEqual(2, result.returncode)
+        self.assertEqual(1, len(result.stderr.splitlines()), result.stderr)
+        for word in words:
+            self.assertIn(word, result.stderr)
+
+    def valid(self, **changes: str) -> list[str]:
+        options = {
+            "--node-id": "a1",
+            "--region": "r1",
+            "--failure-domain": "da",
+            "--caller-address": "127.0.0.1:1",
+            "--link-address": "127.0.0.1:2",
+            "--mesh-address": "127.0.0.1:3",
+            "--admin-address": "127.0.0.1:4",
+            "--platform-url": "http://127.0.0.1:5",
+        }
+        options.update({f"--{k.replace('_', '-')}": v for k, v in changes.items()})
+        return [part for pair in options.items() for part in pair]
+
+    def test_host_name_is_refused_with_setting_value_and_allowed(self):
+        result = self.run_daemon(*self.valid(link_address="localhost:2"))
+        self.assert_refused(result, "--link-address", "localhost:2", "IP")
+
+    def test_out_of_range_number_is_refused(self):
+        result = self.run_daemon(*self.valid(drain_timeout_s="-1"))
+        self.assert_refused(result, "--drain-timeout-s", "-1")
+
+    def test_short_key_is_refused_without_showing_it(self):
+        result = self.run_daemon(*self.valid(), key="sesame")
+        self.assert_refused(result, "GUAVAGAP_MESH_KEY", "16")
+        self.assertNotIn("sesame", result.stderr)
+
+    def test_missing_setting_is_refused(self):
+        self.assert_refused(self.run_daemon("--node-id", "a"), "--region")
+
+
+class SignalTests(FleetTestCase):
+    def test_sigint_ends_gracefully_too(self):
+        fleet = self.start_mesh(self.open_fleet(), {"a1": "da"})
+        process = fleet.nodes["a1"].process
+        process.send_signal(signal.SIGINT)
+        self.assertEqual(0, process.wait(30))
--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,36 @@
+"""Tests of the closed list of error kinds."""
+
+import testtools
+
+from guavagap.errors import ANSWERS, ErrorKind, GuavagapError, answer_for
+
+
+class AnswerTableTests(testtools.TestCase):
+    def test_every_kind_has_an_answer(self):
+        self.assertEqual(set(ErrorKind), set(ANSWERS))
+
+    def test_statuses_levels_and_exit_codes_are_valid(self):
+        for kind in ErrorKind:
+            answer = answer_for(kind)
+            self.assertTrue(400 <= answer.status < 600, kind)
+            self.assertIn(answer.log_level, ("debug", "info", "warning", "error"))
+            self.assertIn(answer.exit_code, (1, 2, 3))
+
+    def test_kinds_after_sending_never_claim_not_run(self):
+        for kind in (
+            ErrorKind.DEADLINE_AFTER_SEND,
+            ErrorKind.BACKEND_SERVER_LOST,
+            ErrorKind.BACKEND_SERVER_PROTOCOL,
+            ErrorKind.BODY_CUT_SHORT,
+            ErrorKind.LINK_LOST,
+            ErrorKind.KEY_OUTCOME_UNKNOWN,
+            ErrorKind.INTERNAL,
+        ):
+            self.assertFalse(answer_for(kind).is_not_run, kind)
+
+    def test_values_are_unique(self):
+        self.assertEqual(len(ErrorKind), len({kind.value for kind in ErrorKind}))
+
+    def test_error_carries_kind_and_detail(self):
+        error = GuavagapError(ErrorKind.CONFLICT, "by alice")
+        self.assertEqual("conflict: by alice", str(error))
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,148 @@
+"""Tests that every variant of the platform port passes."""
+
+import time
+
+import curio
+
+from guavagap.addresses import Address
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.http1 import open_listener
+from guavagap.http_messages import accept_connections, serve_http
+from guavagap.platform import ABSENT, MAX_VALUE_BYTES, MemoryPlatform, MemoryStore
+from guavagap.platform_http import open_platform
+from guavagap.tasks import open_task_scope
+from standins.fleet import free_ports
+from standins.platform_server import PlatformServer
+from tests.cases import AsyncTestCase
+
+
+class PlatformCases:
+    """The cases; subclasses say how to open a platform."""
+
+    def check(self, function):
+        self.run_async(self.with_platform, function)
+
+    async def assert_kind(self, kind, awaitable):
+        try:
+            await awaitable
+        except GuavagapError as error:
+            self.assertEqual(kind, error.kind)
+        else:
+            self.fail(f"{kind} was not raised")
+
+    def test_missing_key(self):
+        async def case(platform):
+            self.assertIsNone(await platform.get("a"))
+
+        self.check(case)
+
+    def test_create_read_replace_delete(self):
+        async def case(platform):
+            first = await platform.put("a/b", b"1", ABSENT)
+            self.assertEqual((b"1", first), await platform.get("a/b"))
+            second = await platform.put("a/b", b"2", first)
+            self.assertNotEqual(first, second)
+            await platform.delete("a/b", second)
+            self.assertIsNone(await platform.get("a/b"))
+
+        self.check(case)
+
+    def test_compare_and_swap_refuses_other_revisions(self):
+        async def case(platform):
+            first = await platform.put("a", b"1", ABSENT)
+            await self.assert_kind(ErrorKind.CONFLICT, platform.put("a", b"2", ABSENT))
+            await platform.put("a", b"2", first)
+            await self.assert_kind(ErrorKind.CONFLICT, platform.put("a", b"3", first))
+            await self.assert_kind(ErrorKind.CONFLICT, platform.delete("a", first))
+            self.assertEqual(b"2", (await platform.get("a")).body)
+
+        self.check(case)
+
+    def test_lease_lapses_and_can_be_renewed(self):
+        async def case(platform):
+            revision = await platform.put("a", b"1", ABSENT, ttl_s=0.2)
+            revision = await platform.put("a", b"1", revision, ttl_s=30)
+            await curio.sleep(0.4)
+            self.assertIsNotNone(await platform.get("a"))
+            await platform.put("a", b"1", revision, ttl_s=0.05)
+            await curio.sleep(0.2)
+            self.assertIsNone(await platform.get("a"))
+
+        self.check(case)
+
+    def test_watch_returns_on_change_creation_and_lapse(self):
+        async def case(platform):
+            waiting = await curio.spawn(platform.watch, "a", ABSENT, 30)
+            await curio.sleep(0.1)
+            revision = await platform.put("a", b"1", ABSENT, ttl_s=0.3)
+            self.assertEqual(b"1", (await waiting.join()).body)
+            self.assertIsNone(await platform.watch("a", revision, 30))
+
+        self.check(case)
+
+    def test_watch_ends_with_its_wait(self):
+        async def case(platform):
+            revision = await platform.put("a", b"1", ABSENT)
+            value = await platform.watch("a", revision, 0.1)
+            self.assertEqual(revision, value.revision)
+
+        self.check(case)
+
+    def test_too_large_value_is_refused(self):
+        async def case(platform):
+            body = bytes(MAX_VALUE_BYTES + 1)
+            await self.assert_kind(
+                ErrorKind.BODY_TOO_LARGE, platform.put("a", body, ABSENT)
+            )
+
+        self.check(case)
+
+    def test_calls_are_counted_by_kind(self):
+        async def case(platform):
+            await platform.get("a")
+            await platform.put("a", b"1", ABSENT)
+            self.assertEqual({"get": 1, "put": 1}, dict(platform.call_counts))
+
+        self.check(case)
+
+
+class MemoryPlatformTests(PlatformCases, AsyncTestCase):
+    async def with_platform(self, function):
+        await function(MemoryPlatform(MemoryStore(time.monotonic)))
+
+
+class HttpPlatformTests(PlatformCases, AsyncTestCase):
+    async def with_platform(self, function):
+        await self.with_server(lambda server, platform: function(platform))
+
+    async def with_server(self, function):
+        address = Address("127.0.0.1", free_ports(1)[0])
+        server = PlatformServer()
+
+        async def serve(sock):
+            await serve_http(sock, server.handle)
+
+        async with open_task_scope("test") as scope:
+            await scope.spawn(accept_connections, open_listener(address), scope, serve)
+            async with open_platform(address, 1.0) as platform:
+                await function(server, platform)
+
+    def test_outage_and_delay_are_unreachable(self):
+        async def case(server, platform):
+            for knobs in ({"is_down": True}, {"is_down": False, "delay_s": 3.0}):
+                server.knobs.update(knobs)
+                await self.assert_kind(
+                    ErrorKind.PLATFORM_UNREACHABLE, platform.get("a")
+                )
+
+        self.run_async(self.with_server, case)
+
+    def test_lost_answer_leaves_the_write_in_place(self):
+        async def case(server, platform):
+            server.knobs["lose_write_answers"] = 1
+            await self.assert_kind(
+                ErrorKind.PLATFORM_UNREACHABLE, platform.put("a", b"1", ABSENT)
+            )
+            self.assertEqual(b"1", (await platform.get("a")).body)
+
+        self.run_async(self.with_server, case)
