--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches with bounds from the stated target: ``python -m bench NAME``."""
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,131 @@
+"""Load on a node or a backend server: plain blocking sockets and threads."""
+
+import socket
+import threading
+import time
+from typing import NamedTuple
+
+__all__ = ["BlockingClient", "LoadResult", "run_paced", "run_saturated"]
+
+RECEIVE_BYTES = 65_536
+
+
+class LoadResult(NamedTuple):
+    """Outcome of a load.
+
+    Attributes:
+        latencies_s: of each answered call.
+        statuses: count of answers by status; 0 for broken calls.
+        duration_s: wall time of the load.
+    """
+
+    latencies_s: list[float]
+    statuses: dict[int, int]
+    duration_s: float
+
+
+class BlockingClient:
+    """One kept connection that makes a call at a time."""
+
+    def __init__(self, port: int, request: bytes):
+        self._port = port
+        self._request = request
+        self._sock: socket.socket | None = None
+
+    def call(self) -> int:
+        """Make one call and read its whole answer; return the status."""
+        try:
+            if self._sock is None:
+                self._sock = socket.create_connection(("127.0.0.1", self._port), 5.0)
+                self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._sock.sendall(self._request)
+            return self._read_answer()
+        except OSError:
+            self.close()
+            return 0
+
+    def _read_answer(self) -> int:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            more = self._sock.recv(RECEIVE_BYTES)
+            if not more:
+                raise ConnectionResetError("closed")
+            data += more
+        head, _, body = data.partition(b"\r\n\r\n")
+        lower = head.lower()
+        start = lower.index(b"content-length:") + len(b"content-length:")
+        length = int(lower[start:].split(b"\r\n", 1)[0])
+        received = len(body)
+        while received < length:
+            more = self._sock.recv(RECEIVE_BYTES)
+            if not more:
+                raise ConnectionResetError("cut short")
+            received += len(more)
+        if b"connection: close" in lower:
+            self.close()
+        return int(head.split(b" ", 2)[1])
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+
+
+def make_request(
+    path: str, headers: dict[str, str] | None = None, host: str = "shop.example"
+) -> bytes:
+    """Return the bytes of a GET request."""
+    lines = [f"GET {path} HTTP/1.1", f"Host: {host}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def run_paced(
+    clients: list[BlockingClient], calls_per_s: float, calls: int
+) -> list[LoadResult]:
+    """Call several clients in turn at a fixed rate; one result for each.
+
+    The clients share the run, so their figures can be compared.
+    """
+    results = [LoadResult([], {}, 0.0) for _ in clients]
+    started_s = time.perf_counter()
+    for number in range(calls):
+        due_s = started_s + number / calls_per_s
+        time.sleep(max(0.0, due_s - time.perf_counter()))
+        result = results[number % len(clients)]
+        _time_call(clients[number % len(clients)], result)
+    duration_s = time.perf_counter() - started_s
+    return [result._replace(duration_s=duration_s) for result in results]
+
+
+def _time_call(client: BlockingClient, result: LoadResult) -> None:
+    before_s = time.perf_counter()
+    status = client.call()
+    result.latencies_s.append(time.perf_counter() - before_s)
+    result.statuses[status] = result.statuses.get(status, 0) + 1
+
+
+def run_saturated(clients: list[BlockingClient], duration_s: float) -> LoadResult:
+    """Call every client in its own thread, one call after the other."""
+    stop_s = time.perf_counter() + duration_s
+    results = [LoadResult([], {}, 0.0) for _ in clients]
+
+    def work(client: BlockingClient, result: LoadResult) -> None:
+        while time.perf_counter() < stop_s:
+            _time_call(client, result)
+
+    threads = [
+        threading.Thread(target=work, args=pair) for pair in zip(clients, results)
+    ]
+    started_s = time.perf_counter()
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    statuses: dict[int, int] = {}
+    for result in results:
+        for status, count in result.statuses.items():
+            statuses[status] = statuses.get(status, 0) + count
+    latencies_s = [value for result in results for value in result.latencies_s]
+    return LoadResult(latencies_s, statuses, time.perf_counter() - started_s)
--- a/guavagap/daemon.py
+++ b/guavagap/daemon.py
@@ -44,7 +44,8 @@
 async def _run_until(shutdown, settings: Settings) -> None:
     async with open_node(settings) as node:
         acceptor = await _start(node)
-        _tame_collector()
+        if settings.garbage_collector == "tamed":
+            _tame_collector()
         log.info("node started", version=__version__)
         await shutdown.recv(1)
         log.info("node draining", in_flight=node.proxy.in_flight)
--- a/guavagap/settings.py
+++ b/guavagap/settings.py
@@ -48,6 +48,7 @@
     caller_read_timeout_s: float
     max_body_bytes: int
     max_caller_connections: int
+    garbage_collector: str
     allow_fault_injection: bool
 
 
@@ -186,6 +187,13 @@
         type=click.IntRange(1, 100_000),
         show_default=True,
     ),
+    click.option(
+        "--garbage-collector",
+        default="tamed",
+        type=click.Choice(("tamed", "default")),
+        show_default=True,
+        help="How Python's collector runs: rarely, or as Python ships it.",
+    ),
     click.option(
         "--allow-fault-injection",
         is_flag=True,
