Spend less processor time on each proxied request

Cause: a sampling profile of the ingress node on the direct path shows 45 % of its time in h11, 28 % in curio and selectors, 22 % in our own code. Avoidable were: validating headers a second time that the parser had accepted, three timeouts for each request, and a regular expression over each head.

Change: parsed headers go to h11 as parsed; one watcher per proxy ends idle connections and those whose caller has gone, so that only the deadline is a timeout of each request; a reset of a stream cancels its task; line folding is searched for only where a line starts with white space.

--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -7,7 +7,12 @@
 from guavagap.addresses import Address
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.exchange import AnswerHead, ForwardedRequest, Upstream
-from guavagap.http1 import Http1Connection, connect_http1, end_to_end_headers
+from guavagap.http1 import (
+    Http1Connection,
+    connect_http1,
+    end_to_end_headers,
+    validated_headers,
+)
 
 __all__ = ["BackendConnectionPool", "BackendExchange", "CONNECT_TIMEOUT_S"]
 
@@ -94,7 +99,11 @@
         if request.has_body and request.content_length_bytes is None:
             headers.append(_CHUNKED)
         events = [
-            h11.Request(method=request.method, target=request.target, headers=headers)
+            h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=validated_headers(headers),
+            )
         ]
         events += [h11.Data(data=chunk) for chunk in chunks]
         if is_complete:
--- a/guavagap/caller_connections.py
+++ b/guavagap/caller_connections.py
@@ -5,7 +5,7 @@
 
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.exchange import AnswerHead, Downstream
-from guavagap.http1 import Http1Connection, RequestHead
+from guavagap.http1 import Http1Connection, RequestHead, validated_headers
 
 __all__ = ["CallerDownstream", "READ_AHEAD_BYTES"]
 
@@ -95,7 +95,7 @@
         return bytes(event.data)
 
     async def send_answer(self, answer: AnswerHead):
-        headers = answer.headers + self._extra_headers
+        headers = validated_headers(answer.headers + self._extra_headers)
         events = [h11.Response(status_code=answer.status, headers=headers)]
         events += self._body_events(answer.chunks, answer.is_complete)
         self.is_answer_started = True
@@ -119,6 +119,3 @@
             raise GuavagapError(
                 ErrorKind.BACKEND_SERVER_PROTOCOL, f"answer not sendable: {error}"
             ) from None
-
-    def is_gone(self):
-        return self._connection.is_closed_by_peer()
--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -31,7 +31,6 @@
 RUN_HEADER = b"guavagap-run"
 RUN_NOT_RUN = b"not-run"
 RUN_UNKNOWN = b"unknown"
-CALLER_CHECK_INTERVAL_S = 0.1
 REFUSAL_STATUS = 503
 
 Headers = list[tuple[bytes, bytes]]
@@ -117,10 +116,6 @@
     async def send_chunks(self, chunks: list[bytes], is_complete: bool) -> None:
         """Send further body bytes."""
 
-    @abstractmethod
-    def is_gone(self) -> bool:
-        """Return whether nobody waits for the answer any more."""
-
 
 class Upstream(ABC):
     """Where a request goes; good for one exchange.
@@ -195,7 +190,7 @@
     is_finished = False
     try:
         is_body_sent = await _send_request(request, downstream, upstream)
-        answer = await _wait_for_answer(downstream, upstream)
+        answer = await upstream.read_answer()
         _raise_refusal(answer)
         await downstream.send_answer(answer)
         is_complete = answer.is_complete
@@ -233,18 +228,6 @@
     return False
 
 
-async def _wait_for_answer(downstream: Downstream, upstream: Upstream) -> AnswerHead:
-    """Read the answer's head, giving up when the caller has gone."""
-    while True:
-        try:
-            return await curio.timeout_after(
-                CALLER_CHECK_INTERVAL_S, upstream.read_answer
-            )
-        except curio.TaskTimeout:
-            if downstream.is_gone():
-                raise GuavagapError(ErrorKind.CALLER_GONE, "closed by caller") from None
-
-
 def _raise_refusal(answer: AnswerHead) -> None:
     """Raise when the backend server says that it did not run the request."""
     if answer.status != REFUSAL_STATUS:
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -150,9 +150,6 @@
     async def send_chunks(self, chunks, is_complete):
         await self._stream.send_body(b"".join(chunks), is_complete)
 
-    def is_gone(self):
-        return self._stream.reset is not None
-
 
 def request_from_open_stream(opening: OpenStream) -> ForwardedRequest:
     """Return the request that a stream's first frame describes."""
--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -2,6 +2,8 @@
 
 from functools import singledispatch
 
+import curio
+
 from guavagap.errors import ErrorKind, GuavagapError, answer_for
 from guavagap.exchange import Attempt, limit_to_deadline
 from guavagap.forwarding import StreamDownstream, request_from_open_stream
@@ -50,6 +52,7 @@
 async def _run_forwarded(opening: OpenStream, node, link) -> None:
     """Run a forwarded request on a local backend server."""
     stream = link.add_stream(opening.stream_id)
+    stream.cancel_on_reset(await curio.current_task())
     downstream = StreamDownstream(stream, opening)
     request = request_from_open_stream(opening)
     attempt = Attempt()
--- a/guavagap/http1.py
+++ b/guavagap/http1.py
@@ -7,6 +7,7 @@
 import curio
 import h11
 from curio import socket
+from h11._headers import Headers as ParsedHeaders
 
 from guavagap.addresses import Address
 from guavagap.errors import ErrorKind, GuavagapError
@@ -22,6 +23,7 @@
     "header_value",
     "open_listener",
     "read_request_head",
+    "validated_headers",
 ]
 
 RECEIVE_BYTES = 65_536
@@ -113,6 +115,9 @@
 
     def _inspect_head(self) -> None:
         buffered, _ = self.h11.trailing_data
+        self.is_head_folded = False
+        if b"\n " not in buffered and b"\n\t" not in buffered:
+            return
         end = _HEAD_END.search(buffered)
         head = buffered if end is None else buffered[: end.start() + 1]
         self.is_head_folded = _FOLDED_LINE.search(head) is not None
@@ -197,6 +202,15 @@
     return sock
 
 
+def validated_headers(headers: Headers) -> ParsedHeaders:
+    """Return headers in the form that h11 takes without validating them again.
+
+    Args:
+        headers: lower-case names and values that a parser has accepted.
+    """
+    return ParsedHeaders([(name, name, value) for name, value in headers])
+
+
 def header_value(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header given by its lower-case name."""
     for header_name, value in headers:
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -45,6 +45,7 @@
 KEY_HEADER = b"idempotency-key"
 MAX_KEY_BYTES = 256
 VIA = (b"via", b"1.1 guavagap")
+WATCH_INTERVAL_S = 0.1
 LINGER_S = 1.0
 LINGER_BYTES = 262_144
 FAILURE_STATUS = 500
@@ -69,6 +70,22 @@
     fingerprint: bytes
 
 
+class _Watched:
+    """A caller's connection and since when it is in its present phase."""
+
+    __slots__ = ("connection", "task", "is_answering", "since_s")
+
+    def __init__(self, connection: Http1Connection, task: curio.Task):
+        self.connection = connection
+        self.task = task
+        self.start(is_answering=False)
+
+    def start(self, is_answering: bool) -> None:
+        """Enter a phase."""
+        self.is_answering = is_answering
+        self.since_s = time.monotonic()
+
+
 class Proxy:
     """Serves callers of one node.
 
@@ -83,33 +100,59 @@
     def __init__(self, node):
         self.counts: Counter[str] = Counter()
         self.in_flight = 0
-        self.connection_count = 0
         self._node = node
+        self._watched: set[_Watched] = set()
         self._budgets: dict[tuple[str, str], RetryBudget] = {}
         self._request_numbers = count(1)
         self._request_prefix = f"{node.settings.node_id}-{time.time_ns():x}-".encode()
 
+    @property
+    def connection_count(self) -> int:
+        """How many callers' connections are open."""
+        return len(self._watched)
+
     async def serve(self, sock) -> None:
         """Answer the requests of one caller's connection."""
         connection = Http1Connection(sock, h11.SERVER)
-        self.connection_count += 1
+        watched = _Watched(connection, await curio.current_task())
+        self._watched.add(watched)
         try:
-            if self.connection_count > self._node.settings.max_caller_connections:
+            if len(self._watched) > self._node.settings.max_caller_connections:
                 error = GuavagapError(ErrorKind.OVERLOADED, "too many connections")
                 await self._send_error(connection, error, b"")
                 return
-            while await self._serve_request(connection):
+            while await self._serve_request(connection, watched):
                 pass
         except (OSError, h11.ProtocolError, GuavagapError) as error:
             log.debug("caller connection ended", why=repr(error))
         finally:
-            self.connection_count -= 1
+            self._watched.discard(watched)
             await connection.close()
 
-    async def _serve_request(self, connection: Http1Connection) -> bool:
+    async def run_watch(self) -> None:
+        """End connections that are idle for long or whose caller has gone."""
+        while True:
+            await curio.sleep(WATCH_INTERVAL_S)
+            now_s = time.monotonic()
+            idle_before_s = now_s - self._node.settings.caller_read_timeout_s
+            waiting_before_s = now_s - WATCH_INTERVAL_S
+            for watched in list(self._watched):
+                connection = watched.connection
+                if watched.is_answering:
+                    is_over = watched.since_s < waiting_before_s
+                    is_over = is_over and connection.is_closed_by_peer()
+                    self.counts[ErrorKind.CALLER_GONE.value] += is_over
+                else:
+                    is_over = watched.since_s < idle_before_s and connection.is_silent()
+                if is_over:
+                    await watched.task.cancel(blocking=False)
+
+    async def _serve_request(
+        self, connection: Http1Connection, watched: "_Watched"
+    ) -> bool:
         """Answer one request; return whether the connection may be kept."""
         try:
-            head = await self._read_head(connection)
+            head = await read_request_head(connection)
         except GuavagapError as error:
             await self._send_error(connection, error, b"")
             await _linger(connection)
@@ -120,24 +163,18 @@
         if request_id is None:
             request_id = self._request_prefix + b"%d" % next(self._request_numbers)
         self.in_flight += 1
+        watched.start(is_answering=True)
         try:
             await self._answer(connection, head, request_id)
         except GuavagapError as error:
             return await self._answer_error(connection, error, request_id)
         finally:
             self.in_flight -= 1
+            watched.start(is_answering=False)
         if self._node.is_draining:
             return False
         return connection.start_next_cycle()
 
-    async def _read_head(self, connection: Http1Connection) -> RequestHead | None:
-        timeout_s = self._node.settings.caller_read_timeout_s
-        try:
-            async with curio.timeout_after(timeout_s):
-                return await read_request_head(connection)
-        except curio.TaskTimeout:
-            return None
-
     async def _answer_error(
         self, connection: Http1Connection, error: GuavagapError, request_id: bytes
     ) -> bool:
--- a/guavagap/streams.py
+++ b/guavagap/streams.py
@@ -32,6 +32,7 @@
         self._receive_credit_bytes = INITIAL_CREDIT_BYTES
         self._consumed_bytes = 0
         self._credit_arrived = curio.Event()
+        self._runner: curio.Task | None = None
 
     async def deliver(self, message) -> None:
         """Take one frame from the link's receiving task.
@@ -46,12 +47,18 @@
         if isinstance(message, StreamReset):
             self.reset = message
             await self._credit_arrived.set()
+            if self._runner is not None:
+                await self._runner.cancel(blocking=False)
         if isinstance(message, (StreamData, StreamAnswer)):
             self._receive_credit_bytes -= len(message.body)
             if self._receive_credit_bytes < 0:
                 raise GuavagapError(ErrorKind.FRAME_INVALID, "more body than credit")
         await self._inbox.put(message)
 
+    def cancel_on_reset(self, runner: curio.Task) -> None:
+        """Cancel a task when the other end gives up or the link ends."""
+        self._runner = runner
+
     async def end_with_link(self) -> None:
         """End the stream because its link has ended."""
         await self.deliver(
