Prove configuration promises under kill, freeze, cut, outage and race

Cause: the promises on configuration had no proof. The first run of these found one fault: a document that no node can apply also stopped every other team's commits, because the check for overlapping routes read it and gave up.

Ruled out: refusing such a document earlier (it came around the command line, as a newer tool's might).

Change: the overlap check leaves out accepted documents that do not decode, as the nodes do. Tests: unit cases for commits, deltas, member rows, hostile bytes; thirteen cases on four real processes; a checker over every node's log of applied epochs.

--- a/guavagap/commits.py
+++ b/guavagap/commits.py
@@ -129,6 +129,15 @@
             self._documents[digest] = checked.ok
         return self._documents[digest]
 
+    async def read_valid(self, service: str, digest: str) -> Document | None:
+        """Return an accepted document, None when no node can apply it either."""
+        try:
+            return await self.read(service, digest)
+        except GuavagapError as error:
+            if error.kind is not ErrorKind.CONFIGURATION_REJECTED:
+                raise
+            return None
+
 
 def make_change(kind: str, author: str, message: str) -> Change:
     """Return a change with a new identifier; the swap fills in the rest."""
@@ -345,7 +354,9 @@
     all_documents = dict(documents)
     for service, entry in head["entries"].items():
         if service not in documents and not entry["is_deleted"]:
-            all_documents[service] = await reader.read(service, entry["digest"])
+            document = await reader.read_valid(service, entry["digest"])
+            if document is not None:
+                all_documents[service] = document
     for service, document in documents.items():
         for other_service, other in all_documents.items():
             if other_service != service:
--- a/guavagap/configuration.py
+++ b/guavagap/configuration.py
@@ -140,12 +140,28 @@
                 )
         return held, rejections
 
+    def _count_unresolved(self) -> int:
+        """Return how many routes name a pool that the held documents lack."""
+        pools = {
+            (service, pool["name"])
+            for service, (_, document) in self._held.items()
+            if document is not None
+            for pool in document["pools"]
+        }
+        routes = [
+            route
+            for routes_of_host in self.snapshot.routes_by_host.values()
+            for route in routes_of_host
+        ]
+        return sum((r.pool.service, r.pool.name) not in pools for r in routes)
+
     def _log_applied(self) -> None:
         log.info(
             "configuration applied",
             epoch=self.epoch,
             digest=self.head_digest,
             services=len(self.snapshot.services),
+            unresolved=self._count_unresolved(),
             rejected=len(self.rejections),
         )
         for rejection in self.rejections.values():
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import shlex
 import signal
 import socket
 import subprocess
@@ -12,6 +13,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from guavagap.documents import digest_of
+
 __all__ = ["Fleet", "FleetNode", "FleetServer", "HttpReply", "open_fleet", "wait_until"]
 
 MESH_KEY = "an-example-mesh-key-of-enough-bytes"
@@ -41,6 +44,19 @@
     log_path: Path
 
 
+class AppliedEpoch(NamedTuple):
+    """One line of a node's log of applied epochs.
+
+    Attributes:
+        is_start: True for the start of a process instead of an epoch.
+    """
+
+    epoch: int
+    digest: str
+    unresolved: int
+    is_start: bool
+
+
 class FleetServer(NamedTuple):
     """One running stand-in backend server."""
 
@@ -171,7 +187,7 @@
             **self._node_options,
             **{f"--{name.replace('_', '-')}": value for name, value in options.items()},
         }
-        flat = [part for pair in arguments.items() for part in pair]
+        flat = [part for pair in arguments.items() for part in pair if part]
         for peer in peers:
             flat += ["--peer-addresses", f"127.0.0.1:{self._ports[peer][2]}"]
         log_path = self.folder / f"{node_id}.log"
@@ -262,6 +278,32 @@
         """Return the platform's calls by kind."""
         return json.loads(http_call(self.platform_port, "GET", "/counts").body)
 
+    def read_platform(self, key: str) -> bytes:
+        """Return the body of a key."""
+        return http_call(self.platform_port, "GET", f"/kv/{key}").body
+
+    def restore_platform(self, key: str, body: bytes) -> None:
+        """Put an earlier body back, as a restored backup would."""
+        http_call(self.platform_port, "PUT", f"/restore/{key}", body)
+
+    def commit_unchecked(self, service: str, change) -> None:
+        """Commit a document around every check of the command line."""
+        head = json.loads(self.read_platform("head"))
+        entry = head["entries"][service]
+        key = f"doc/{service}/{entry['digest']}"
+        document = json.loads(self.read_platform(key))
+        change(document)
+        body = json.dumps(document).encode()
+        head["epoch"] += 1
+        entry.update(
+            version=entry["version"] + 1,
+            digest=digest_of(body),
+            epoch=head["epoch"],
+            document_epoch=head["epoch"],
+        )
+        self.restore_platform(f"doc/{service}/{entry['digest']}", body)
+        self.restore_platform("head", json.dumps(head).encode())
+
     def cli(self, *arguments: str, timeout_s: float = 60.0):
         """Run the command line; return the completed process."""
         return subprocess.run(
@@ -331,6 +373,47 @@
         process.send_signal(signal.SIGTERM)
         return process.wait(STOP_TIMEOUT_S)
 
+    def applied(self, node_id: str) -> list[AppliedEpoch]:
+        """Return the epochs that a node has logged as applied, oldest first."""
+        rows = []
+        for line in self.nodes[node_id].log_path.read_text().splitlines():
+            if 'event="configuration applied"' in line:
+                fields = dict(part.split("=", 1) for part in shlex.split(line))
+                rows.append(
+                    AppliedEpoch(
+                        int(fields["epoch"]),
+                        fields["digest"],
+                        int(fields["unresolved"]),
+                        False,
+                    )
+                )
+            if 'event="node started"' in line:
+                rows.append(AppliedEpoch(0, "", 0, True))
+        return rows
+
+    def history_problems(self) -> list[str]:
+        """Return what the nodes' logs show against the promises on epochs.
+
+        A problem is a step down within one process, a route that names a pool
+        which the node does not hold, or two contents under one epoch.
+        """
+        problems = []
+        digests: dict[int, str] = {}
+        for node_id in self.nodes:
+            former = 0
+            for row in self.applied(node_id):
+                if row.is_start:
+                    former = 0
+                    continue
+                if row.epoch <= former:
+                    problems.append(f"{node_id}: {row.epoch} after {former}")
+                if row.unresolved:
+                    problems.append(f"{node_id}: {row.unresolved} unresolved routes")
+                if digests.setdefault(row.epoch, row.digest) != row.digest:
+                    problems.append(f"{node_id}: epoch {row.epoch} has two contents")
+                former = row.epoch
+        return problems
+
     def close(self) -> None:
         """End every process."""
         for process in self._processes:
--- /dev/null
+++ b/tests/test_commits.py
@@ -0,0 +1,231 @@
+"""Tests of commits under races, lost answers and a history that went back."""
+
+import time
+
+import curio
+
+from guavagap import porcelain
+from guavagap.commits import (
+    apply_documents,
+    audit_key,
+    delete_service,
+    raise_epoch,
+    read_head,
+)
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.platform import MemoryPlatform, MemoryStore
+from tests.cases import AsyncTestCase
+from tests.test_configuration import make_document
+
+RACE_ROUNDS = 200
+
+
+class _LossyPlatform(MemoryPlatform):
+    """Lets other tasks run between calls, and can lose answers of writes."""
+
+    def __init__(self, store):
+        super().__init__(store)
+        self.lose_head_answers = 0
+        self.after_lost_answer = None
+
+    async def get(self, key):
+        value = await super().get(key)
+        await curio.sleep(0)
+        return value
+
+    async def put(self, key, body, expected, ttl_s=None):
+        await curio.sleep(0)
+        revision = await super().put(key, body, expected, ttl_s)
+        if key == "head" and self.lose_head_answers:
+            self.lose_head_answers -= 1
+            if self.after_lost_answer is not None:
+                await self.after_lost_answer()
+            raise GuavagapError(ErrorKind.PLATFORM_UNREACHABLE, "answer lost")
+        return revision
+
+
+def edited(service: str, edited_from: int, timeout_s: float, version: str = "v1"):
+    """Return a document edited from a version."""
+    document = make_document(service)
+    document["edited_from"] = edited_from
+    document["routes"][0]["timeout_s"] = timeout_s
+    document["wanted"]["backend_server_version"] = version
+    return document
+
+
+class CommitTests(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.store = None
+
+    def check(self, case):
+        async def start():
+            self.store = MemoryStore(time.monotonic)
+            await case(_LossyPlatform(self.store))
+
+        self.run_async(start)
+
+    async def kind_of(self, awaitable):
+        try:
+            return None, await awaitable
+        except GuavagapError as error:
+            return error.kind, error.detail
+
+    def test_all_documents_or_none(self):
+        async def case(platform):
+            await apply_documents(platform, [edited("a", 0, 1.0)], "alice", "")
+            kind, _ = await self.kind_of(
+                apply_documents(
+                    platform, [edited("b", 0, 1.0), edited("a", 0, 2.0)], "bob", ""
+                )
+            )
+            self.assertEqual(ErrorKind.CONFLICT, kind)
+            head, _ = await read_head(platform)
+            self.assertEqual((1, ["a"]), (head["epoch"], list(head["entries"])))
+
+        self.check(case)
+
+    def test_conflict_names_version_author_and_time(self):
+        async def case(platform):
+            await apply_documents(platform, [edited("a", 0, 1.0)], "alice", "")
+            _, detail = await self.kind_of(
+                apply_documents(platform, [edited("a", 0, 2.0)], "bob", "")
+            )
+            for word in ("alice", "version 1", "20", "guavagap get a"):
+                self.assertIn(word, detail)
+
+        self.check(case)
+
+    def test_same_document_again_changes_nothing(self):
+        async def case(platform):
+            document = edited("a", 0, 1.0)
+            await apply_documents(platform, [document], "alice", "")
+            commit = await apply_documents(platform, [document], "alice", "")
+            self.assertEqual((1, {}), (commit.epoch, commit.versions))
+
+        self.check(case)
+
+    def test_race_on_one_document_has_one_winner_each_round(self):
+        async def case(platform):
+            for number in range(RACE_ROUNDS):
+                tasks = [
+                    await curio.spawn(
+                        self.kind_of,
+                        apply_documents(
+                            platform, [edited("a", number, 1 + n / 10)], f"op{n}", ""
+                        ),
+                    )
+                    for n in range(2)
+                ]
+                kinds = sorted([str((await task.join())[0]) for task in tasks])
+                self.assertEqual(["ErrorKind.CONFLICT", "None"], kinds)
+            head, _ = await read_head(platform)
+            self.assertEqual(RACE_ROUNDS, head["entries"]["a"]["version"])
+
+        self.check(case)
+
+    def test_race_on_different_documents_has_two_winners(self):
+        async def case(platform):
+            for number in range(RACE_ROUNDS):
+                tasks = [
+                    await curio.spawn(
+                        apply_documents,
+                        platform,
+                        [edited(service, number, 1.0)],
+                        service,
+                        "",
+                    )
+                    for service in ("a", "b")
+                ]
+                for task in tasks:
+                    await task.join()
+            head, _ = await read_head(platform)
+            self.assertEqual(2 * RACE_ROUNDS, head["epoch"])
+            trail = await porcelain.list_changes(platform, 10_000)
+            self.assertEqual(
+                list(range(2 * RACE_ROUNDS, 0, -1)), [item["epoch"] for item in trail]
+            )
+
+        self.check(case)
+
+    def test_lost_answer_is_recognised_as_own(self):
+        async def case(platform):
+            platform.lose_head_answers = 1
+            commit = await apply_documents(platform, [edited("a", 0, 1.0)], "al", "")
+            self.assertEqual((1, {"a": 1}), (commit.epoch, commit.versions))
+            head, _ = await read_head(platform)
+            self.assertEqual(1, head["epoch"])
+
+        self.check(case)
+
+    def test_lost_answer_is_found_behind_a_later_commit(self):
+        async def case(platform):
+            other = MemoryPlatform(self.store)
+
+            async def commit_between():
+                await apply_documents(other, [edited("b", 0, 1.0)], "bob", "")
+
+            platform.after_lost_answer = commit_between
+            platform.lose_head_answers = 1
+            commit = await apply_documents(platform, [edited("a", 0, 1.0)], "al", "")
+            self.assertEqual((1, {"a": 1}), (commit.epoch, commit.versions))
+            head, _ = await read_head(platform)
+            self.assertEqual((2, 1), (head["epoch"], head["entries"]["a"]["version"]))
+
+        self.check(case)
+
+    def test_audit_record_of_a_dead_author_is_written_by_the_next(self):
+        async def case(platform):
+            await apply_documents(platform, [edited("a", 0, 1.0)], "alice", "why")
+            value = await platform.get(audit_key(1))
+            await platform.delete(audit_key(1), value.revision)
+            await apply_documents(platform, [edited("b", 0, 1.0)], "bob", "")
+            trail = await porcelain.list_changes(platform, 10)
+            self.assertEqual(["bob", "alice"], [item["author"] for item in trail])
+
+        self.check(case)
+
+    def test_route_of_another_service_is_refused(self):
+        async def case(platform):
+            await apply_documents(platform, [edited("a", 0, 1.0)], "alice", "")
+            document = make_document("b", "/a")
+            kind, detail = await self.kind_of(
+                apply_documents(platform, [document], "bob", "")
+            )
+            self.assertEqual(ErrorKind.DOCUMENT_INVALID, kind)
+            self.assertIn("route all of a", detail)
+
+        self.check(case)
+
+    def test_new_version_starts_a_rollout_and_the_old_one_ends_it(self):
+        async def case(platform):
+            await apply_documents(platform, [edited("a", 0, 1.0)], "al", "")
+            await apply_documents(platform, [edited("a", 1, 1.0, "v2")], "al", "")
+            status = await porcelain.service_status(platform, "a")
+            self.assertEqual(("running", "v2"), (status.verdict, status.to_version))
+            await apply_documents(platform, [edited("a", 2, 1.0, "v1")], "al", "")
+            status = await porcelain.service_status(platform, "a")
+            self.assertEqual("aborted", status.verdict)
+
+        self.check(case)
+
+    def test_withdrawn_service_can_come_back(self):
+        async def case(platform):
+            await apply_documents(platform, [edited("a", 0, 1.0)], "al", "")
+            await delete_service(platform, "a", "al", "")
+            kind, _ = await self.kind_of(porcelain.get_document(platform, "a"))
+            self.assertEqual(ErrorKind.NOT_FOUND, kind)
+            await apply_documents(platform, [edited("a", 2, 1.0)], "al", "")
+            accepted = await porcelain.get_document(platform, "a")
+            self.assertEqual(3, accepted.entry["version"])
+
+        self.check(case)
+
+    def test_raised_epoch_is_above_what_nodes_hold(self):
+        async def case(platform):
+            await apply_documents(platform, [edited("a", 0, 1.0)], "al", "")
+            commit = await raise_epoch(platform, 41, "al")
+            head, _ = await read_head(platform)
+            self.assertEqual((42, 42), (commit.epoch, head["entries"]["a"]["epoch"]))
+
+        self.check(case)
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,182 @@
+"""Tests of applying deltas: whole, upwards only, never dangling."""
+
+import testtools
+
+from guavagap.configuration import Configuration
+from guavagap.documents import digest_of, encode_document
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.head import Delta, delta_between, digest_of_head
+from guavagap.snapshot import find_route
+
+PATH = "/{}"
+
+
+def make_document(service: str, path: str | None = None) -> dict:
+    """Return a valid document."""
+    return {
+        "service": service,
+        "owner": "team",
+        "edited_from": 0,
+        "wanted": {
+            "backend_server_version": "v1",
+            "complete_by": "2027-01-01T00:00:00Z",
+        },
+        "pools": [{"name": "main"}],
+        "routes": [
+            {
+                "name": "all",
+                "host": "*",
+                "path_prefix": path or f"/{service}",
+                "is_idempotent": True,
+                "timeout_s": 1.0,
+                "pool": "main",
+            }
+        ],
+    }
+
+
+def make_entry(body: bytes, epoch: int, version: int = 1) -> dict:
+    """Return an entry for a document body."""
+    return {
+        "version": version,
+        "digest": digest_of(body),
+        "epoch": epoch,
+        "document_epoch": epoch,
+        "author": "alice",
+        "committed_at_s": 0.0,
+        "stable_version": "v1",
+        "rollout": None,
+        "rolled_back_versions": [],
+        "is_deleted": False,
+    }
+
+
+def whole(epoch: int, bodies: dict[str, bytes], epochs: dict[str, int]) -> Delta:
+    """Return the delta of a whole head."""
+    entries = {s: make_entry(body, epochs[s]) for s, body in bodies.items()}
+    by_digest = {digest_of(body): body for body in bodies.values()}
+    return Delta(0, epoch, entries, by_digest, digest_of_head(epoch, entries))
+
+
+class ApplyTests(testtools.TestCase):
+    def make(self, *services: str) -> Configuration:
+        configuration = Configuration()
+        bodies = {s: encode_document(make_document(s)) for s in services}
+        configuration.apply(whole(1, bodies, dict.fromkeys(services, 1)))
+        return configuration
+
+    def next_delta(self, configuration, service, body, epoch=2) -> Delta:
+        entries = dict(configuration.head["entries"])
+        entries[service] = make_entry(body, epoch, version=2)
+        head = {"epoch": epoch, "change": None, "entries": entries}
+        return delta_between(
+            head, {**configuration.bodies, digest_of(body): body}, epoch - 1
+        )
+
+    def assert_rejected(self, function, *args):
+        try:
+            function(*args)
+        except GuavagapError as error:
+            self.assertEqual(ErrorKind.CONFIGURATION_REJECTED, error.kind)
+        else:
+            self.fail("the delta was taken")
+
+    def route(self, configuration, path: bytes):
+        return find_route(configuration.snapshot, b"h", path, b"GET")
+
+    def test_lower_or_equal_epoch_changes_nothing(self):
+        configuration = self.make("a", "b")
+        body = encode_document(make_document("a", "/new"))
+        configuration.apply(self.next_delta(configuration, "a", body, 2))
+        bodies = {"a": encode_document(make_document("a", "/old"))}
+        for epoch in (1, 2):
+            self.assertFalse(configuration.apply(whole(epoch, bodies, {"a": epoch})))
+        self.assertEqual(2, configuration.epoch)
+        self.assertIsNotNone(self.route(configuration, b"/new"))
+
+    def test_gap_wrong_digest_and_missing_body_change_nothing(self):
+        configuration = self.make("a")
+        body = encode_document(make_document("a", "/new"))
+        delta = self.next_delta(configuration, "a", body)
+        self.assert_rejected(configuration.apply, delta._replace(base_epoch=5))
+        self.assert_rejected(configuration.apply, delta._replace(head_digest="0"))
+        self.assert_rejected(configuration.apply, delta._replace(bodies={}))
+        corrupt = {digest_of(body): body + b" "}
+        self.assert_rejected(configuration.apply, delta._replace(bodies=corrupt))
+        self.assertEqual(1, configuration.epoch)
+        self.assertIsNotNone(self.route(configuration, b"/a"))
+
+    def test_bad_document_takes_its_whole_commit_with_it_and_no_other(self):
+        configuration = self.make("a", "b", "c")
+        bad = make_document("a", "/new")
+        bad["routes"][0]["pool"] = "nowhere"
+        bodies = {
+            "a": encode_document(bad),
+            "b": encode_document(make_document("b", "/new-b")),
+            "c": encode_document(make_document("c", "/new-c")),
+        }
+        delta = whole(3, bodies, {"a": 2, "b": 2, "c": 3})
+        self.assertTrue(configuration.apply(delta))
+        self.assertEqual({"a", "b"}, set(configuration.rejections))
+        self.assertIn("nowhere", configuration.rejections["a"].reason)
+        for path, is_routed in (
+            (b"/a", True),
+            (b"/b", True),
+            (b"/new", False),
+            (b"/new-b", False),
+            (b"/new-c", True),
+            (b"/c", False),
+        ):
+            self.assertEqual(
+                is_routed, self.route(configuration, path) is not None, path
+            )
+
+    def test_later_good_version_ends_a_rejection(self):
+        configuration = self.make("a")
+        bad = make_document("a")
+        bad["routes"][0]["timeout_s"] = -1
+        configuration.apply(self.next_delta(configuration, "a", encode_document(bad)))
+        self.assertEqual({"a"}, set(configuration.rejections))
+        good = encode_document(make_document("a", "/better"))
+        configuration.apply(self.next_delta(configuration, "a", good, 3))
+        self.assertEqual({}, configuration.rejections)
+        self.assertIsNotNone(self.route(configuration, b"/better"))
+
+    def test_route_claimed_by_another_service_is_rejected(self):
+        configuration = self.make("a", "b")
+        body = encode_document(make_document("b", "/a"))
+        configuration.apply(self.next_delta(configuration, "b", body))
+        self.assertEqual({"b"}, set(configuration.rejections))
+        self.assertEqual("a", self.route(configuration, b"/a").service.service)
+
+    def test_withdrawn_service_loses_its_routes(self):
+        configuration = self.make("a", "b")
+        entries = dict(configuration.head["entries"])
+        entries["a"] = entries["a"] | {
+            "epoch": 2,
+            "document_epoch": 2,
+            "is_deleted": True,
+        }
+        head = {"epoch": 2, "change": None, "entries": entries}
+        configuration.apply(delta_between(head, {}, 1))
+        self.assertIsNone(self.route(configuration, b"/a"))
+        self.assertIsNotNone(self.route(configuration, b"/b"))
+
+
+class RouteMatchTests(testtools.TestCase):
+    def test_prefix_matches_whole_segments_and_longest_wins(self):
+        configuration = Configuration()
+        bodies = {
+            "a": encode_document(make_document("a", "/x")),
+            "b": encode_document(make_document("b", "/x/y")),
+        }
+        configuration.apply(whole(1, bodies, {"a": 1, "b": 1}))
+
+        def service_of(path: bytes):
+            route = find_route(configuration.snapshot, b"h", path, b"GET")
+            return None if route is None else route.service.service
+
+        self.assertEqual("a", service_of(b"/x"))
+        self.assertEqual("a", service_of(b"/x/yy"))
+        self.assertEqual("b", service_of(b"/x/y/z"))
+        self.assertIsNone(service_of(b"/xx"))
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,227 @@
+"""Tests of links, datagrams and their codec against hostile bytes."""
+
+from collections import Counter
+
+import curio
+import testtools
+from curio import socket
+from hypothesis import given, settings, strategies
+
+from guavagap.addresses import Address
+from guavagap.codec import decode_datagram, decode_frame, encode_frame
+from guavagap.datagrams import ReplayWindow, open_datagram, seal
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.link import LinkIdentity, TrafficCounts, accept_link, dial_link
+from guavagap.messages import (
+    BackendServer,
+    Datagram,
+    DeltaReply,
+    DeltaRequest,
+    Member,
+    StreamAnswer,
+    StreamData,
+    StreamReset,
+)
+from guavagap.tasks import open_task_scope
+from standins.fleet import free_ports
+from tests.cases import AsyncTestCase
+
+KEY = b"0123456789abcdef"
+SAMPLE_MEMBER = Member(
+    "n1", 5, 0, "r", "d", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", True,
+    (BackendServer("s", "cart", "v1", "main", "127.0.0.1:4", 9, 110),),
+)  # fmt: skip
+SAMPLE = Datagram("n1", 1, 2, 3, 4, (SAMPLE_MEMBER,), (), 0, 7, head_digest=9)
+
+
+class HostileBytesTests(testtools.TestCase):
+    @settings(deadline=None)
+    @given(strategies.binary(max_size=300))
+    def test_random_bytes_never_pass_nor_escape(self, packet):
+        self.assert_refused(packet)
+
+    @settings(deadline=None)
+    @given(strategies.data())
+    def test_changed_datagram_never_passes(self, data):
+        packet = bytearray(seal(KEY, SAMPLE))
+        index = data.draw(strategies.integers(0, len(packet) - 1))
+        packet[index] ^= data.draw(strategies.integers(1, 255))
+        self.assert_refused(bytes(packet))
+        self.assert_refused(bytes(packet[:index]))
+
+    def assert_refused(self, packet: bytes):
+        self.assertRaises(GuavagapError, open_datagram, KEY, packet)
+
+    @settings(deadline=None)
+    @given(strategies.binary(max_size=300))
+    def test_random_bytes_with_a_valid_code_fail_cleanly(self, body):
+        for decode in (decode_frame, decode_datagram):
+            try:
+                decode(body)
+            except GuavagapError as error:
+                self.assertEqual(ErrorKind.FRAME_INVALID, error.kind)
+
+    def test_other_key_is_refused(self):
+        packet = seal(b"another key of 16", SAMPLE)
+        error = self.assertRaises(GuavagapError, open_datagram, KEY, packet)
+        self.assertEqual(ErrorKind.AUTHENTICATION_FAILED, error.kind)
+
+    def test_datagram_survives_a_round_trip(self):
+        self.assertEqual(SAMPLE, open_datagram(KEY, seal(KEY, SAMPLE)))
+
+    @given(strategies.lists(strategies.integers(0, 400), max_size=100))
+    def test_each_sequence_number_is_taken_at_most_once(self, numbers):
+        window = ReplayWindow()
+        taken = [number for number in numbers if window.accept(1, number)]
+        self.assertEqual(len(taken), len(set(taken)))
+
+    def test_numbers_in_order_are_all_taken(self):
+        window = ReplayWindow()
+        self.assertTrue(all(window.accept(1, number) for number in range(1000)))
+        self.assertFalse(window.accept(1, 999))
+        self.assertFalse(window.accept(1, 1))
+        self.assertTrue(window.accept(2, 1))
+
+
+def _counts() -> TrafficCounts:
+    return TrafficCounts(Counter(), Counter(), Counter())
+
+
+class LinkTests(AsyncTestCase):
+    """Two ends over loopback TCP, with a tap between them where needed."""
+
+    async def listen(self, scope, serve):
+        (port,) = free_ports(1)
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.bind(("127.0.0.1", port))
+        listener.listen()
+
+        async def accept():
+            while True:
+                sock, _ = await listener.accept()
+                await scope.spawn(serve, sock)
+
+        await scope.spawn(accept)
+        return Address("127.0.0.1", port)
+
+    async def serve_echo(self, sock, key=KEY):
+        async with accept_link(sock, LinkIdentity("server", key), _counts()) as link:
+            await link.run(self.answer)
+
+    async def answer(self, link, message):
+        if isinstance(message, DeltaRequest):
+            await link.send(DeltaReply(message.call_id, False, b"x", 1))
+
+    def check(self, case):
+        async def start():
+            async with open_task_scope("test") as scope:
+                await case(scope)
+
+        self.run_async(start)
+
+    async def call_once(self, address, key=KEY):
+        identity = LinkIdentity("client", key)
+        async with dial_link(address, identity, _counts()) as link:
+            reader = await curio.spawn(self.run_quietly, link, daemon=True)
+            try:
+                return await link.call(DeltaRequest(0, 1), 1.0)
+            finally:
+                await reader.cancel(blocking=False)
+
+    async def run_quietly(self, link):
+        try:
+            await link.run(self.answer)
+        except GuavagapError:
+            return
+
+    def test_call_gets_its_reply(self):
+        async def case(scope):
+            address = await self.listen(scope, self.serve_echo)
+            reply = await self.call_once(address)
+            self.assertEqual(b"x", reply.compressed)
+
+        self.check(case)
+
+    def test_other_key_is_refused(self):
+        async def case(scope):
+            address = await self.listen(scope, self.serve_echo)
+            try:
+                await self.call_once(address, b"another key of 16")
+            except GuavagapError as error:
+                self.assertIn(
+                    error.kind,
+                    (ErrorKind.AUTHENTICATION_FAILED, ErrorKind.LINK_LOST),
+                )
+            else:
+                self.fail("a link with another key was accepted")
+
+        self.check(case)
+
+    def test_replayed_and_changed_frames_end_the_link(self):
+        for change in ("replay", "flip"):
+
+            async def case(scope):
+                address = await self.listen(scope, self.serve_echo)
+
+                async def tap(sock):
+                    await self.run_tap(scope, sock, address, change)
+
+                tapped = await self.listen(scope, tap)
+                try:
+                    await self.call_once(tapped)
+                    await self.call_once(tapped)
+                except GuavagapError as error:
+                    self.assertEqual(ErrorKind.LINK_LOST, error.kind)
+                else:
+                    self.fail(f"{change} went unnoticed")
+
+            self.check(case)
+
+    async def run_tap(self, scope, sock, address, change: str):
+        """Pass bytes on, but replay or change the third frame of the dialer."""
+        other = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        await other.connect(address)
+
+        async def back():
+            while data := await other.recv(65536):
+                await sock.sendall(data)
+
+        await scope.spawn(back)
+        frames = 0
+        buffer = former = b""
+        while data := await sock.recv(65536):
+            buffer += data
+            while len(buffer) >= 4:
+                size = 20 + int.from_bytes(buffer[:4], "big")
+                if len(buffer) < size:
+                    break
+                frame, buffer = bytearray(buffer[:size]), buffer[size:]
+                frames += 1
+                if frames == 3 and change == "flip":
+                    frame[-1] ^= 1
+                if frames == 3 and change == "replay":
+                    await other.sendall(bytes(former))
+                    continue
+                await other.sendall(bytes(frame))
+                former = frame
+
+    def test_random_bytes_end_the_link_only(self):
+        async def case(scope):
+            address = await self.listen(scope, self.serve_echo)
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            await sock.connect(address)
+            await sock.sendall(b"\xff" * 1000)
+            self.assertIsNotNone(await self.call_once(address))
+            await sock.close()
+
+        self.check(case)
+
+
+class FrameTests(testtools.TestCase):
+    def test_frames_survive_a_round_trip(self):
+        for message in (
+            StreamData(9, b"abc" * 1000, True),
+            StreamReset(9, "draining", "leaving", True),
+            StreamAnswer(9, 200, (), b"", False),
+        ):
+            self.assertEqual(message, decode_frame(encode_frame(message)))
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,101 @@
+"""Tests of the member table and of the fan-out tree."""
+
+import itertools
+
+import testtools
+from hypothesis import given, strategies
+
+from guavagap.dissemination import FAN_OUT, push_children
+from guavagap.members import MemberTable
+from guavagap.messages import Member, MemberState
+
+
+def make_member(node_id: str, incarnation: int = 1, state: int = 0, domain: str = "d"):
+    """Return a row."""
+    address = "127.0.0.1:1"
+    return Member(node_id, incarnation, state, "r", domain, address, address, address)
+
+
+class _Clock:
+    def __init__(self):
+        self.now_s = 0.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+class MemberTableTests(testtools.TestCase):
+    def make(self) -> MemberTable:
+        self.clock = _Clock()
+        return MemberTable(make_member("own", 10), self.clock)
+
+    @given(
+        strategies.lists(
+            strategies.tuples(strategies.integers(1, 4), strategies.integers(0, 3)),
+            min_size=1,
+            max_size=6,
+        )
+    )
+    def test_order_of_arrival_does_not_matter(self, versions):
+        alive_first = make_member("a", 0, 0)
+        tables = []
+        for order in itertools.islice(itertools.permutations(versions), 24):
+            table = self.make()
+            table.merge(alive_first)
+            for incarnation, state in order:
+                table.merge(make_member("a", incarnation, state))
+            tables.append((table.get("a"), table.digest))
+        self.assertEqual(1, len(set(tables)))
+
+    def test_suspicion_of_oneself_is_refuted(self):
+        table = self.make()
+        table.merge(make_member("own", 10, MemberState.SUSPECT))
+        self.assertEqual((11, MemberState.ALIVE), table.own[1:3])
+        table.merge(make_member("own", 20, MemberState.DEAD))
+        self.assertEqual((21, MemberState.ALIVE), table.own[1:3])
+
+    def test_one_who_left_does_not_refute(self):
+        table = self.make()
+        table.publish(state=int(MemberState.LEFT))
+        table.merge(make_member("own", 50, MemberState.DEAD))
+        self.assertEqual(MemberState.LEFT, table.own.state)
+
+    def test_dead_rows_are_forgotten_after_a_while(self):
+        table = self.make()
+        table.merge(make_member("a"))
+        table.suspect("a")
+        table.confirm_dead("a")
+        table.forget_ended()
+        self.assertIsNotNone(table.get("a"))
+        self.clock.now_s = 10_000
+        table.forget_ended()
+        self.assertIsNone(table.get("a"))
+
+    def test_unreachable_domain_keeps_its_rows(self):
+        table = self.make()
+        table.merge(make_member("a", domain="other"))
+        self.assertTrue(table.set_domain_reachable("other", False))
+        self.assertFalse(table.is_usable(table.get("a")))
+        self.assertTrue(table.set_domain_reachable("other", True))
+        self.assertTrue(table.is_usable(table.get("a")))
+
+    def test_each_row_is_told_a_bounded_number_of_times(self):
+        table = self.make()
+        for number in range(50):
+            table.merge(make_member(f"n{number}"))
+        told = 0
+        while table.has_news():
+            told += len(table.take_news(4))
+        self.assertTrue(told <= 51 * 10, told)
+
+
+class FanOutTests(testtools.TestCase):
+    @given(strategies.integers(1, 200), strategies.integers(1, 50))
+    def test_every_member_is_reached_exactly_once(self, size, epoch):
+        members = [f"n{number}" for number in range(size)]
+        reached = ["n0"]
+        for node_id in reached:
+            children = push_children("n0", node_id, epoch, members)
+            self.assertTrue(len(children) <= FAN_OUT)
+            reached += children
+        self.assertEqual(sorted(members), sorted(reached))
--- /dev/null
+++ b/tests/test_mesh_failures.py
@@ -0,0 +1,255 @@
+"""Promises on configuration, kept by real processes under failure."""
+
+import os
+import signal
+import time
+
+from standins.fleet import wait_until
+from tests.cases import FleetTestCase
+
+FAST = {
+    "probe_interval_s": "0.2",
+    "suspicion_timeout_s": "1.0",
+    "relay_lease_ttl_s": "1.5",
+    "drain_timeout_s": "3",
+}
+FOUR = {"a1": "da", "a2": "da", "b1": "db", "b2": "db"}
+
+
+class MeshTestCase(FleetTestCase):
+    """Four nodes in two failure domains, with short timers."""
+
+    def start(self, layout: dict[str, str] = FOUR):
+        fleet = self.open_fleet(**FAST, allow_fault_injection="")
+        return self.start_mesh(fleet, layout)
+
+    def edit(self, fleet, number: int, expect: int = 0) -> int:
+        """Commit the next version of catalogue; return its epoch."""
+        folder = fleet.folder / "edit"
+        folder.mkdir(exist_ok=True)
+        file = folder / "catalogue.toml"
+        with open("examples/shop/catalogue.toml", encoding="utf-8") as example:
+            text = example.read()
+        text = text.replace("edited_from = 0", f"edited_from = {number}")
+        text = text.replace("timeout_s = 2.0", f"timeout_s = {2.0 + number / 100}")
+        file.write_text(text)
+        result = fleet.cli("apply", str(file))
+        self.assertEqual(expect, result.returncode, result.stderr)
+        return number + 1
+
+    def relay_of(self, fleet, failure_domain: str) -> str:
+        """Return the node that holds a failure domain's lease."""
+
+        def find():
+            for node_id, node in fleet.nodes.items():
+                if (
+                    node.failure_domain == failure_domain
+                    and node.process.poll() is None
+                ):
+                    if (fleet.status(node_id) or {}).get("is_relay"):
+                        return node_id
+            return None
+
+        return wait_until(find, what=f"relay of {failure_domain}")
+
+    def assert_histories(self, fleet):
+        self.assertEqual([], fleet.history_problems())
+
+
+class RelayTests(MeshTestCase):
+    def test_killed_relay_is_replaced_and_changes_go_on(self):
+        fleet = self.start()
+        relay = self.relay_of(fleet, "da")
+        fleet.kill(fleet.nodes[relay].process)
+        epoch = self.edit(fleet, 1)
+        others = [node_id for node_id in FOUR if node_id != relay]
+        fleet.wait_epoch(epoch, *others)
+        self.assertNotEqual(relay, self.relay_of(fleet, "da"))
+        self.assert_histories(fleet)
+
+    def test_relay_frozen_past_its_lease_lowers_nothing_when_it_thaws(self):
+        fleet = self.start()
+        relay = self.relay_of(fleet, "da")
+        os.kill(fleet.nodes[relay].process.pid, signal.SIGSTOP)
+        self.addCleanup(os.kill, fleet.nodes[relay].process.pid, signal.SIGCONT)
+        others = [node_id for node_id in FOUR if node_id != relay]
+        for number in range(1, 4):
+            epoch = self.edit(fleet, number)
+        fleet.wait_epoch(epoch, *others)
+        self.assertNotEqual(relay, self.relay_of(fleet, "da"))
+        os.kill(fleet.nodes[relay].process.pid, signal.SIGCONT)
+        fleet.wait_epoch(epoch, relay)
+        wait_until(
+            lambda: all(
+                member["state"] == "alive"
+                for node_id in FOUR
+                for member in fleet.status(node_id)["members"]
+            ),
+            what="every member alive again",
+        )
+        self.assert_histories(fleet)
+
+    def test_domain_cut_from_the_platform_learns_from_other_domains(self):
+        fleet = self.start()
+        for node_id in ("a1", "a2"):
+            fleet.block(node_id, [], platform=True)
+        epoch = self.edit(fleet, 1)
+        fleet.wait_epoch(epoch)
+        self.assert_histories(fleet)
+
+
+class CutTests(MeshTestCase):
+    def test_cut_domain_serves_goes_on_and_catches_up(self):
+        fleet = self.start()
+        for index, node_id in enumerate(FOUR):
+            fleet.start_server(f"s{index}", node_id)
+        fleet.wait_targets("catalogue", 4)
+        for node_id in ("a1", "a2"):
+            fleet.block(node_id, ["b1", "b2"], platform=True)
+        for node_id in ("b1", "b2"):
+            fleet.block(node_id, ["a1", "a2"])
+        epoch = self.edit(fleet, 1)
+        fleet.wait_epoch(epoch, "b1", "b2")
+        fleet.wait_targets("catalogue", 2)
+        for node_id in FOUR:
+            reply = fleet.call(node_id, "/catalogue/1")
+            self.assertEqual(200, reply.status, reply)
+        self.assertEqual(1, fleet.status("a1")["epoch"])
+        self.assertIn("failure domain db unreachable", fleet.status("a1")["alarms"])
+        for node_id in FOUR:
+            fleet.block(node_id, [])
+        fleet.wait_epoch(epoch)
+        fleet.wait_targets("catalogue", 4)
+        self.assertEqual([], fleet.status("a1")["alarms"])
+        self.assert_histories(fleet)
+
+    def test_half_of_the_nodes_killed_at_once(self):
+        fleet = self.start()
+        for index, node_id in enumerate(FOUR):
+            fleet.start_server(f"s{index}", node_id)
+        fleet.wait_targets("catalogue", 4)
+        for node_id in ("a1", "b2"):
+            fleet.kill(fleet.nodes[node_id].process)
+        epoch = self.edit(fleet, 1)
+        fleet.wait_epoch(epoch, "a2", "b1")
+        fleet.wait_targets("catalogue", 2, "a2", "b1")
+        for node_id in ("a2", "b1"):
+            self.assertEqual(200, fleet.call(node_id, "/catalogue/1").status)
+        self.assert_histories(fleet)
+
+
+class RestartTests(MeshTestCase):
+    def restart(self, fleet, *node_ids: str) -> None:
+        for node_id in node_ids:
+            fleet.kill(fleet.nodes[node_id].process)
+        for node_id in node_ids:
+            peers = tuple(other for other in FOUR if other != node_id)
+            fleet.start_node(node_id, FOUR[node_id], peers=peers)
+
+    def test_node_restarted_without_the_platform_learns_from_peers(self):
+        fleet = self.start()
+        epoch = self.edit(fleet, 1)
+        fleet.wait_epoch(epoch)
+        fleet.set_platform(is_down=True)
+        self.restart(fleet, "a1")
+        fleet.wait_ready("a1")
+        self.assertEqual(epoch, fleet.status("a1")["epoch"])
+        self.assert_histories(fleet)
+
+    def test_restarted_domain_catches_up_with_the_platform_up(self):
+        fleet = self.start()
+        epoch = self.edit(fleet, 1)
+        fleet.wait_epoch(epoch)
+        self.restart(fleet, "a1", "a2")
+        fleet.wait_ready("a1", "a2")
+        for node_id in ("a1", "a2"):
+            self.assertEqual(epoch, fleet.status(node_id)["epoch"])
+        self.assert_histories(fleet)
+
+    def test_all_restarted_without_the_platform_refuse_truthfully(self):
+        fleet = self.start()
+        fleet.set_platform(is_down=True)
+        self.restart(fleet, *FOUR)
+        for node_id in FOUR:
+            wait_until(lambda: fleet.status(node_id), what="admin port")
+            reply = fleet.call(node_id, "/catalogue/1")
+            self.assertEqual(
+                (503, "not-run", "not_ready"),
+                (
+                    reply.status,
+                    reply.headers["guavagap-run"],
+                    reply.headers["guavagap-error"],
+                ),
+            )
+        fleet.set_platform(is_down=False)
+        fleet.wait_ready()
+        self.assertEqual({1}, {fleet.status(n)["epoch"] for n in FOUR})
+
+
+class PlatformTests(MeshTestCase):
+    def test_outage_leaves_callers_served_and_ends_in_convergence(self):
+        fleet = self.start()
+        fleet.start_server("s1", "a1")
+        fleet.wait_targets("catalogue", 1)
+        fleet.set_platform(is_down=True)
+        result = fleet.cli("apply", "examples/claims")
+        self.assertEqual(3, result.returncode, result.stderr)
+        time.sleep(3)
+        for node_id in FOUR:
+            self.assertEqual(200, fleet.call(node_id, "/catalogue/1").status)
+        fleet.set_platform(is_down=False)
+        epoch = self.edit(fleet, 1)
+        fleet.wait_epoch(epoch)
+        self.assert_histories(fleet)
+
+    def test_slow_platform_only_delays(self):
+        fleet = self.start()
+        fleet.set_platform(delay_s=0.5)
+        epoch = self.edit(fleet, 1)
+        fleet.wait_epoch(epoch)
+        self.assert_histories(fleet)
+
+    def test_lost_answer_is_one_commit(self):
+        fleet = self.start()
+        fleet.set_platform(lose_write_answers=1)
+        epoch = self.edit(fleet, 1)
+        fleet.wait_epoch(epoch)
+        trail = fleet.cli("log").stdout.splitlines()
+        self.assertEqual(2, len(trail), trail)
+
+    def test_platform_that_went_back_raises_an_alarm_and_lowers_nothing(self):
+        fleet = self.start()
+        with_one = fleet.read_platform("head")
+        epoch = self.edit(fleet, 1)
+        fleet.wait_epoch(epoch)
+        fleet.restore_platform("head", with_one)
+        relay = self.relay_of(fleet, "da")
+        wait_until(
+            lambda: "platform went back in time" in fleet.status(relay)["alarms"],
+            what="alarm",
+        )
+        self.assertEqual({epoch}, {fleet.status(n)["epoch"] for n in FOUR})
+        result = fleet.cli("recover", "--above-epoch", str(epoch))
+        self.assertEqual(0, result.returncode, result.stderr)
+        fleet.wait_epoch(epoch + 1)
+        self.assert_histories(fleet)
+
+
+class RejectionTests(MeshTestCase):
+    def test_document_that_passed_no_check_is_rejected_whole_and_reported(self):
+        fleet = self.start()
+        fleet.commit_unchecked("catalogue", lambda d: d["routes"][0].update(pool="x"))
+        wait_until(lambda: all(fleet.status(n)["alarms"] for n in FOUR), what="alarms")
+        status = fleet.status("b2")["services"]["catalogue"]
+        self.assertEqual(
+            (2, 1), (status["accepted_version"], status["applied_version"])
+        )
+        self.assertIn("no pool 'x'", status["rejection"]["reason"])
+        result = fleet.cli("apply", "examples/claims")
+        self.assertEqual(0, result.returncode, result.stderr)
+        fleet.wait_epoch(3)
+        metrics = fleet.metrics("b2")
+        self.assertEqual(1, metrics["guavagap_config_rejected_services"])
+        services = fleet.status("b2")["services"]
+        self.assertEqual(1, services["approval"]["applied_version"])
+        self.assert_histories(fleet)
