Roll out backend server versions and roll bad ones back

Cause: nothing judged a new version, and a document's wanted version stayed a wish.

Ruled out: collecting evidence at the relay that holds the lease (leases lapse in a platform outage, and then no version could be found bad; the collector follows from the member table instead).

Change: stages of 1, 5, 20, 50 and 100 % over the time to complete_by; evidence by version, route and server from the nodes that made the calls; a mixture of likelihood ratios against the old version in the same window; notices that only grow, spread at once; decisions by compare-and-swap; make demo.

--- a/guavagap/daemon.py
+++ b/guavagap/daemon.py
@@ -70,6 +70,7 @@
     await scope.spawn_role(node.relay.run, scope)
     await scope.spawn_role(node.run_housekeeping)
     await scope.spawn_role(node.proxy.run_watch)
+    await scope.spawn_role(node.evaluator.run)
     await scope.spawn(node.learn)
     return await scope.spawn_role(
         accept_connections, caller_listener, scope, node.proxy.serve
--- /dev/null
+++ b/guavagap/evaluator.py
@@ -0,0 +1,264 @@
+"""Evaluation of rollouts: evidence in, decisions out.
+
+Each node sends its evidence to the collector of its failure domain. A collector
+sums it, judges it on its own, and passes it to the evaluator of the service. A
+collector or evaluator that finds a version bad spreads a notice, which needs
+neither agreement nor the platform. Weights grow, and verdicts are kept, by
+compare-and-swap of the head. Both roles follow from the member table, so a
+second holder of one is harmless.
+"""
+
+import time
+
+import curio
+
+from guavagap.commits import make_change, swap_head
+from guavagap.errors import GuavagapError
+from guavagap.evidence import EvidenceTable, EvidenceWindows
+from guavagap.head import Entry, Head, Rollout
+from guavagap.logs import get_logger
+from guavagap.messages import EvidenceReport, EvidenceRow, Notice
+from guavagap.rendezvous import rendezvous_order
+from guavagap.rollouts import (
+    FULL_WEIGHT_PERMILLE,
+    SEQUENTIAL_POLICY,
+    Decision,
+    decide,
+    find_fault,
+)
+
+__all__ = ["Evaluator"]
+
+log = get_logger()
+
+TICK_S = 1.0
+OPEN_STATES = ("running", "paused")
+
+
+class Evaluator:
+    """Collects evidence and judges rollouts on one node.
+
+    Args:
+        node: the node's parts; see :class:`guavagap.node.Node`.
+    """
+
+    def __init__(self, node):
+        self._node = node
+        self._collected = EvidenceTable()
+        self._summed = EvidenceTable()
+        self._own_windows: dict[str, EvidenceWindows] = {}
+        self._all_windows: dict[str, EvidenceWindows] = {}
+        self._weights: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Send evidence and judge rollouts until cancelled."""
+        while True:
+            await curio.sleep(TICK_S)
+            open_rollouts = self._open_rollouts()
+            await self._send_own(open_rollouts)
+            await self._collect(open_rollouts)
+            await self._evaluate(open_rollouts)
+
+    def _open_rollouts(self) -> dict[str, Rollout]:
+        """Return the rollouts without a verdict, by service."""
+        rollouts = {}
+        for service, entry in self._node.configuration.head["entries"].items():
+            rollout = entry["rollout"]
+            if rollout is not None and rollout["state"] in OPEN_STATES:
+                rollouts[service] = rollout
+        return rollouts
+
+    def collector_of(self, failure_domain: str) -> str | None:
+        """Return the node that collects a failure domain's evidence."""
+        rows = self._node.table.alive_in_domain(failure_domain)
+        order = rendezvous_order(failure_domain, [row.node_id for row in rows], str)
+        return order[0] if order else None
+
+    def evaluator_of(self, service: str) -> str | None:
+        """Return the node that evaluates a service."""
+        table = self._node.table
+        domains = {row.failure_domain for row in table.alive()}
+        reachable = sorted(domains - table.unreachable_domains)
+        order = rendezvous_order(service, reachable, str)
+        return self.collector_of(order[0]) if order else None
+
+    async def _send_own(self, open_rollouts: dict[str, Rollout]) -> None:
+        rows = self._node.evidence.take(set(open_rollouts))
+        rows = tuple(
+            row
+            for row in rows
+            if row.version
+            in (
+                open_rollouts[row.service]["from_version"],
+                open_rollouts[row.service]["to_version"],
+            )
+        )
+        collector = self.collector_of(self._node.settings.failure_domain)
+        await self._send(collector, rows, is_summed=False)
+
+    async def _send(
+        self, node_id: str | None, rows: tuple[EvidenceRow, ...], is_summed: bool
+    ) -> None:
+        own_id = self._node.settings.node_id
+        if not rows or node_id is None:
+            return
+        report = EvidenceReport(own_id, rows, is_summed)
+        if node_id == own_id:
+            self.take_report(report)
+            return
+        await self._node.scope.spawn(self._send_report, node_id, report)
+
+    async def _send_report(self, node_id: str, report: EvidenceReport) -> None:
+        try:
+            async with curio.timeout_after(TICK_S):
+                link = await self._node.links.get(node_id)
+                await link.send(report)
+        except (GuavagapError, curio.TaskTimeout) as error:
+            log.info("evidence not sent", to=node_id, why=repr(error))
+
+    def take_report(self, report: EvidenceReport) -> None:
+        """Take evidence of a node, or of a collector when it is summed."""
+        table = self._summed if report.is_summed else self._collected
+        for row in report.rows:
+            table.add_row(row)
+
+    async def _collect(self, open_rollouts: dict[str, Rollout]) -> None:
+        """Judge the own failure domain's evidence and pass it on."""
+        rows = self._collected.take(set(open_rollouts))
+        self._keep_windows(self._own_windows, open_rollouts, rows)
+        for service, rollout in open_rollouts.items():
+            windows = self._own_windows[service].windows()
+            finding = find_fault(SEQUENTIAL_POLICY, windows)
+            if finding is not None:
+                await self._give_notice(service, rollout, finding.reason)
+            own_rows = tuple(row for row in rows if row.service == service)
+            await self._send(self.evaluator_of(service), own_rows, is_summed=True)
+
+    def _keep_windows(
+        self,
+        windows: dict[str, EvidenceWindows],
+        open_rollouts: dict[str, Rollout],
+        rows: tuple[EvidenceRow, ...],
+    ) -> None:
+        """Add a tick to the windows of each open rollout."""
+        for service in set(windows) - set(open_rollouts):
+            del windows[service]
+        for service, rollout in open_rollouts.items():
+            held = windows.get(service)
+            if held is None or held.new_version != rollout["to_version"]:
+                held = EvidenceWindows(rollout["from_version"], rollout["to_version"])
+                windows[service] = held
+            held.add_tick(tuple(row for row in rows if row.service == service))
+
+    async def _give_notice(self, service: str, rollout: Rollout, reason: str) -> None:
+        node = self._node
+        notice = Notice(service, rollout["to_version"], reason)
+        if not node.notices.is_rolled_back(service, rollout["to_version"]):
+            log.warning("version found bad", **notice._asdict())
+            node.take_notices((notice,))
+
+    async def _evaluate(self, open_rollouts: dict[str, Rollout]) -> None:
+        """Decide on the rollouts that this node evaluates."""
+        rows = self._summed.take(set(open_rollouts))
+        self._keep_windows(self._all_windows, open_rollouts, rows)
+        self._start_stages()
+        for service, rollout in open_rollouts.items():
+            if self.evaluator_of(service) != self._node.settings.node_id:
+                continue
+            decision = self._decide(service, rollout)
+            if decision.finding is not None:
+                await self._give_notice(service, rollout, decision.reason)
+            if self._is_change(service, rollout, decision):
+                await self._write(service, rollout, decision)
+
+    def _start_stages(self) -> None:
+        """Start a new window where the head shows a new weight."""
+        entries = self._node.configuration.head["entries"]
+        for service in self._all_windows:
+            rollout = entries[service]["rollout"]
+            weight = 0 if rollout is None else rollout["weight_permille"]
+            if self._weights.get(service) != weight:
+                self._weights[service] = weight
+                self._all_windows[service].start_stage()
+                self._own_windows[service].start_stage()
+
+    def _decide(self, service: str, rollout: Rollout) -> Decision:
+        notices = self._node.notices.of_service(service)
+        for notice in notices:
+            if notice.version == rollout["to_version"]:
+                return Decision(0, False, notice, notice.reason)
+        windows = self._all_windows[service]
+        return decide(
+            SEQUENTIAL_POLICY,
+            rollout,
+            windows.windows(),
+            windows.requests_of_stage(),
+            self._capacity_permille(service, rollout),
+            time.time(),
+        )
+
+    def _capacity_permille(self, service: str, rollout: Rollout) -> int:
+        """Return the weight that the new version's slots can carry."""
+        slots = {rollout["from_version"]: 0, rollout["to_version"]: 0}
+        for target in self._node.directory.all_targets():
+            server = target.server
+            if server.service == service and server.version in slots:
+                slots[server.version] += server.slots
+        new, old = slots[rollout["to_version"]], slots[rollout["from_version"]]
+        if not old:
+            return FULL_WEIGHT_PERMILLE if new else 0
+        return min(FULL_WEIGHT_PERMILLE, new * FULL_WEIGHT_PERMILLE // old)
+
+    def _is_change(self, service: str, rollout: Rollout, decision: Decision) -> bool:
+        return (
+            decision.finding is not None
+            or decision.is_complete
+            or decision.weight_permille != rollout["weight_permille"]
+            or decision.reason != rollout["reason"]
+        )
+
+    async def _write(self, service: str, rollout: Rollout, decision: Decision) -> None:
+        """Write a decision to the head, unless the head has moved on."""
+        change = make_change("rollout", self._node.settings.node_id, decision.reason)
+
+        async def edit(head: Head) -> Head | None:
+            entry = head["entries"].get(service)
+            if entry is None or entry["rollout"] != rollout:
+                return None
+            epoch = head["epoch"] + 1
+            change["versions"] = {service: entry["version"]}
+            new_entry = _decided(entry, decision, time.time()) | {"epoch": epoch}
+            entries = head["entries"] | {service: new_entry}
+            return {"epoch": epoch, "change": None, "entries": entries}
+
+        try:
+            commit = await swap_head(self._node.platform, change, edit)
+        except GuavagapError as error:
+            log.info("decision not written", service=service, why=str(error))
+            return
+        if commit.versions:
+            log.info(
+                "rollout decision",
+                service=service,
+                version=rollout["to_version"],
+                weight_permille=decision.weight_permille,
+                reason=decision.reason,
+            )
+
+
+def _decided(entry: Entry, decision: Decision, now_s: float) -> Entry:
+    """Return an entry after a decision."""
+    rollout = entry["rollout"] | {"reason": decision.reason}
+    if decision.finding is not None:
+        rollout |= {"state": "rolled_back", "weight_permille": 0}
+        versions = [*entry["rolled_back_versions"], rollout["to_version"]]
+        return entry | {"rollout": rollout, "rolled_back_versions": versions}
+    if decision.is_complete:
+        rollout |= {"state": "completed"}
+        return entry | {"rollout": rollout, "stable_version": rollout["to_version"]}
+    if decision.weight_permille != rollout["weight_permille"]:
+        rollout |= {
+            "weight_permille": decision.weight_permille,
+            "stage_started_at_s": now_s,
+        }
+    return entry | {"rollout": rollout}
--- a/guavagap/evidence.py
+++ b/guavagap/evidence.py
@@ -1,6 +1,7 @@
 """Evidence on backend server versions, from the requests that were made."""
 
 from bisect import bisect_left
+from collections import Counter, deque
 from typing import NamedTuple
 
 from guavagap.messages import EvidenceRow
@@ -9,11 +10,17 @@
     "EvidenceKey",
     "EvidenceSum",
     "EvidenceTable",
+    "EvidenceWindows",
     "LATENCY_BOUNDS_MS",
+    "RouteEvidence",
     "merge_sums",
 ]
 
 LATENCY_BOUNDS_MS = (1, 2, 3, 5, 8, 12, 20, 32, 50, 80, 125, 200, 320, 500, 1000, 2500)
+MAX_TICKS = 600
+WINDOW_TICKS = (5, 30)
+COLD_REQUESTS = 30
+MIN_BASELINE_REQUESTS = 20
 BUCKETS = len(LATENCY_BOUNDS_MS) + 1
 
 
@@ -94,3 +101,106 @@
             for key, row in counts.items()
             if key[0] in services
         )
+
+
+class RouteEvidence(NamedTuple):
+    """Outcomes of two versions on one route in one window.
+
+    Attributes:
+        old: the version that carries the other traffic.
+        new_by_server: the new version, by backend server.
+        warm_by_server: the same without each server's first requests.
+    """
+
+    route: str
+    old: EvidenceSum
+    new_by_server: dict[str, EvidenceSum]
+    warm_by_server: dict[str, EvidenceSum]
+
+
+class EvidenceWindows:
+    """Evidence on one rollout, kept by tick so that recent windows can be read.
+
+    Args:
+        old_version: the version before.
+        new_version: the version that is taking over.
+    """
+
+    def __init__(self, old_version: str, new_version: str):
+        self.old_version = old_version
+        self.new_version = new_version
+        self._ticks: deque[dict[EvidenceKey, EvidenceSum]] = deque(maxlen=MAX_TICKS)
+        self._cold: deque[set[EvidenceKey]] = deque(maxlen=MAX_TICKS)
+        self._stage_ticks = 0
+        self._requests_of_server: Counter[str] = Counter()
+        self._baselines: dict[str, EvidenceSum] = {}
+
+    def add_tick(self, rows: tuple[EvidenceRow, ...]) -> None:
+        """Add what has arrived since the last tick."""
+        tick: dict[EvidenceKey, EvidenceSum] = {}
+        cold: set[EvidenceKey] = set()
+        for row in rows:
+            key = EvidenceKey(row.service, row.version, row.route, row.server_id)
+            counts = EvidenceSum(row.requests, row.failures, row.latency_buckets)
+            tick[key] = merge_sums(tick.get(key, EMPTY_SUM), counts)
+            if self._requests_of_server[row.server_id] < COLD_REQUESTS:
+                cold.add(key)
+        for key, counts in tick.items():
+            self._requests_of_server[key.server_id] += counts.requests
+        self._ticks.append(tick)
+        self._cold.append(cold)
+        self._stage_ticks = min(self._stage_ticks + 1, MAX_TICKS)
+
+    def start_stage(self) -> None:
+        """Leave earlier evidence out of the window of the stage."""
+        for evidence in self.read(self._stage_ticks):
+            if evidence.old.requests >= MIN_BASELINE_REQUESTS:
+                self._baselines[evidence.route] = evidence.old
+        self._stage_ticks = 0
+
+    def requests_of_stage(self) -> int:
+        """Return how many requests the new version has had in this stage."""
+        return sum(
+            counts.requests
+            for evidence in self.read(self._stage_ticks)
+            for counts in evidence.new_by_server.values()
+        )
+
+    def windows(self) -> list[list[RouteEvidence]]:
+        """Return the evidence of the recent windows and of the stage."""
+        lengths = {min(length, self._stage_ticks) for length in WINDOW_TICKS}
+        return [self.read(length) for length in sorted(lengths | {self._stage_ticks})]
+
+    def read(self, ticks: int) -> list[RouteEvidence]:
+        """Return the evidence of the latest ticks by route."""
+        old: dict[str, EvidenceSum] = {}
+        new: dict[str, dict[str, EvidenceSum]] = {}
+        warm: dict[str, dict[str, EvidenceSum]] = {}
+        first = len(self._ticks) - ticks
+        for index in range(max(0, first), len(self._ticks)):
+            for key, counts in self._ticks[index].items():
+                if key.version == self.old_version:
+                    _add(old, key.route, counts)
+                elif key.version == self.new_version:
+                    _add(new.setdefault(key.route, {}), key.server_id, counts)
+                    if key not in self._cold[index]:
+                        _add(warm.setdefault(key.route, {}), key.server_id, counts)
+        return [
+            RouteEvidence(
+                route,
+                self._baseline(route, old.get(route, EMPTY_SUM)),
+                by_server,
+                warm.get(route, {}),
+            )
+            for route, by_server in sorted(new.items())
+        ]
+
+    def _baseline(self, route: str, old: EvidenceSum) -> EvidenceSum:
+        """Return the old version's outcomes, from before when there are few now."""
+        if old.requests >= MIN_BASELINE_REQUESTS:
+            return old
+        return merge_sums(old, self._baselines.get(route, EMPTY_SUM))
+
+
+def _add(sums: dict[str, EvidenceSum], name: str, counts: EvidenceSum) -> None:
+    sums[name] = merge_sums(sums.get(name, EMPTY_SUM), counts)
--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -11,6 +11,7 @@
 from guavagap.messages import (
     DeltaPush,
     DeltaRequest,
+    EvidenceReport,
     MembersReply,
     MembersRequest,
     NoticesReply,
@@ -100,6 +101,11 @@
     await link.send(MembersReply(message.call_id, tuple(node.table.rows())))
 
 
+@handle_message.register
+async def _(message: EvidenceReport, node, link) -> None:
+    node.evaluator.take_report(message)
+
+
 @handle_message.register
 async def _(message: NoticesRequest, node, link) -> None:
     node.take_notices(message.notices)
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -17,6 +17,7 @@
 from guavagap.directory import Directory
 from guavagap.dissemination import Disseminator
 from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.evaluator import Evaluator
 from guavagap.evidence import EvidenceTable
 from guavagap.exchange import AnswerHead, Attempt, Downstream, ForwardedRequest
 from guavagap.faults import BlockedAddresses
@@ -48,7 +49,7 @@
 
 log = get_logger()
 
-ANNOUNCEMENT_CHECK_S = 0.5
+HOUSEKEEPING_S = 0.1
 LEARN_TIMEOUT_S = 1.0
 LEARN_BACKOFF_FIRST_S = 0.2
 LEARN_BACKOFF_LIMIT_S = 3.0
@@ -136,8 +137,10 @@
             self._introduce_to,
         )
         self.proxy = Proxy(self)
+        self.evaluator = Evaluator(self)
         self._synced_at_s = 0.0
         self._is_spread_wanted = False
+        self._is_syncing = False
 
     async def _handle(self, link, message) -> None:
         await handle_message(message, self, link)
@@ -155,7 +158,8 @@
         await self.disseminator.on_epoch_seen(
             datagram.sender_id, datagram.epoch, datagram.head_digest
         )
-        if datagram.notices_digest != self.notices.digest:
+        if datagram.notices_digest != self.notices.digest and not self._is_syncing:
+            self._is_syncing = True
             await self.scope.spawn(self.sync_notices, datagram.sender_id)
         is_same_table = datagram.members_digest == self.table.digest
         is_due = time.monotonic() - self._synced_at_s > SYNC_INTERVAL_S
@@ -182,10 +186,12 @@
         except GuavagapError as error:
             log.info("notices not synchronised", peer=node_id, why=str(error))
             return
+        finally:
+            self._is_syncing = False
         self.take_notices(reply.notices)
 
     def take_notices(self, notices) -> None:
-        """Add notices of another node."""
+        """Add notices and pass news on at once."""
         for notice in notices:
             if self.notices.add(notice):
                 log.warning(
@@ -194,6 +200,7 @@
                     version=notice.version,
                     reason=notice.reason,
                 )
+                self.spread_soon()
 
     async def _introduce_to(self, mesh_addresses: list[str]) -> None:
         own = self.settings.mesh_address
@@ -261,7 +268,7 @@
     async def run_housekeeping(self) -> None:
         """Lapse announcements and spread urgent news, until cancelled."""
         while True:
-            await curio.sleep(ANNOUNCEMENT_CHECK_S)
+            await curio.sleep(HOUSEKEEPING_S)
             await self.announcements_changed()
             if self._is_spread_wanted:
                 self._is_spread_wanted = False
--- /dev/null
+++ b/guavagap/rollouts.py
@@ -0,0 +1,253 @@
+"""The policy of rollouts: when the weight grows and when a version is bad.
+
+A version is judged against the old one on the same route in the same window, by
+a mixture of likelihood ratios. Under a fair comparison the chance that the
+ratio ever reaches ``1 / false_alarm`` is at most ``false_alarm`` (Ville's
+inequality), so it may be looked at any time. Little traffic gives a small
+ratio: it says "not enough", never "good".
+"""
+
+import math
+from typing import NamedTuple
+
+from guavagap.evidence import EvidenceSum, RouteEvidence, merge_sums
+from guavagap.head import Rollout
+
+__all__ = [
+    "Decision",
+    "Finding",
+    "Policy",
+    "SEQUENTIAL_POLICY",
+    "THRESHOLD_POLICY",
+    "decide",
+    "find_fault",
+]
+
+FULL_WEIGHT_PERMILLE = 1000
+MIN_STAGE_S = 2.0
+FINISH_EARLY_SHARE = 0.1
+EXCESS_SHARES = (0.05, 0.2, 0.5, 0.9)
+SLOW_SHARE = 0.1
+MIN_BASELINE_SHARE = 0.002
+WORST_SERVER_FALSE_ALARM = 0.05
+
+
+class Policy(NamedTuple):
+    """How rollouts are stepped and judged.
+
+    Attributes:
+        weights_permille: the stages.
+        time_shares: share of the time to ``complete_by`` for each stage.
+        false_alarm: chance of a false verdict for each route and test.
+        failing_ratio: with a threshold instead of the sequential test, how many
+            times the old version's failure share is too much; 0 for the test.
+        min_requests: with a threshold, requests needed for a judgement.
+    """
+
+    weights_permille: tuple[int, ...]
+    time_shares: tuple[float, ...]
+    false_alarm: float
+    failing_ratio: float
+    min_requests: int
+
+
+SEQUENTIAL_POLICY = Policy(
+    (10, 50, 200, 500, 1000), (0.2, 0.2, 0.2, 0.2, 0.2), 1e-5, 0.0, 0
+)
+THRESHOLD_POLICY = Policy(
+    (10, 50, 200, 500, 1000), (0.2, 0.2, 0.2, 0.2, 0.2), 0.0, 3.0, 20
+)
+
+
+class Finding(NamedTuple):
+    """Why a version is bad, in words and figures."""
+
+    route: str
+    reason: str
+
+
+class Decision(NamedTuple):
+    """What to do with a rollout now.
+
+    Attributes:
+        weight_permille: the next weight; the present one when nothing changes.
+        is_complete: whether the new version has taken over.
+        finding: why it must be rolled back, None otherwise.
+        reason: for the operator.
+    """
+
+    weight_permille: int
+    is_complete: bool
+    finding: Finding | None
+    reason: str
+
+
+def _log_ratio(count: int, total: int, base_share: float) -> float:
+    """Return the log of the mixed likelihood ratio for too large a share."""
+    ratios = []
+    for excess in EXCESS_SHARES:
+        share = base_share + (1.0 - base_share) * excess
+        ratios.append(
+            count * math.log(share / base_share)
+            + (total - count) * math.log((1.0 - share) / (1.0 - base_share))
+        )
+    largest = max(ratios)
+    mean = sum(math.exp(ratio - largest) for ratio in ratios) / len(ratios)
+    return largest + math.log(mean)
+
+
+def _upper_share(count: int, total: int) -> float:
+    """Return a share with an allowance for few observations."""
+    share = (count + 1) / (total + 2)
+    share += math.sqrt(share * (1 - share) / (total + 2))
+    return min(0.95, max(MIN_BASELINE_SHARE, share))
+
+
+def _total(by_server: dict[str, EvidenceSum]) -> EvidenceSum | None:
+    total = None
+    for counts in by_server.values():
+        total = counts if total is None else merge_sums(total, counts)
+    return total
+
+
+def _without_worst(by_server: dict[str, EvidenceSum], count_of) -> EvidenceSum | None:
+    """Return the sum without the server that looks worst."""
+    if len(by_server) < 2:
+        return None
+
+    def badness(server_id: str) -> float:
+        counts = by_server[server_id]
+        return (count_of(counts) + 1) / (counts.requests + 2)
+
+    worst = max(by_server, key=badness)
+    return _total({key: v for key, v in by_server.items() if key != worst})
+
+
+def _slow_bucket(old: EvidenceSum) -> int:
+    """Return the first latency bucket that counts as slow."""
+    allowed = old.requests * SLOW_SHARE
+    above = old.requests
+    for bucket, count in enumerate(old.latency_buckets):
+        above -= count
+        if above <= allowed:
+            return bucket + 1
+    return len(old.latency_buckets)
+
+
+def _is_excess(
+    policy: Policy, old: EvidenceSum, by_server: dict[str, EvidenceSum], count_of
+) -> bool:
+    """Return whether the new version has too many of what ``count_of`` counts.
+
+    One bad server of several is not a bad version: without the worst one there
+    must still be a sign of it.
+    """
+    new = _total(by_server)
+    if new is None or not new.requests:
+        return False
+    if policy.failing_ratio:
+        return _is_over_threshold(policy, old, new, count_of)
+    base_share = _upper_share(count_of(old), old.requests)
+    bound = -math.log(policy.false_alarm)
+    if _log_ratio(count_of(new), new.requests, base_share) < bound:
+        return False
+    others = _without_worst(by_server, count_of)
+    if others is None:
+        return True
+    weak_bound = -math.log(WORST_SERVER_FALSE_ALARM)
+    return _log_ratio(count_of(others), others.requests, base_share) >= weak_bound
+
+
+def _is_over_threshold(policy: Policy, old: EvidenceSum, new: EvidenceSum, count_of):
+    if new.requests < policy.min_requests or old.requests < policy.min_requests:
+        return False
+    old_share = max(count_of(old) / old.requests, 0.01)
+    return count_of(new) / new.requests > policy.failing_ratio * old_share
+
+
+def _find_in_route(policy: Policy, evidence: RouteEvidence) -> Finding | None:
+    old = evidence.old
+    if _is_excess(policy, old, evidence.new_by_server, lambda s: s.failures):
+        new = _total(evidence.new_by_server)
+        return Finding(
+            evidence.route,
+            f"route {evidence.route}: {new.failures} of {new.requests} requests"
+            f" failed, against {old.failures} of {old.requests}",
+        )
+    bucket = _slow_bucket(old)
+
+    def count_slow(counts: EvidenceSum) -> int:
+        return sum(counts.latency_buckets[bucket:])
+
+    if _is_excess(policy, old, evidence.warm_by_server, count_slow):
+        new = _total(evidence.warm_by_server)
+        return Finding(
+            evidence.route,
+            f"route {evidence.route}: {count_slow(new)} of {new.requests} requests"
+            f" were slow, against {count_slow(old)} of {old.requests}",
+        )
+    return None
+
+
+def find_fault(policy: Policy, windows: list[list[RouteEvidence]]) -> Finding | None:
+    """Return why a version is bad, None while the evidence does not say so."""
+    for window in windows:
+        for evidence in window:
+            finding = _find_in_route(policy, evidence)
+            if finding is not None:
+                return finding
+    return None
+
+
+def _stage_of(policy: Policy, weight_permille: int) -> int:
+    """Return the number of stages that have been entered."""
+    return sum(weight <= weight_permille for weight in policy.weights_permille)
+
+
+def _stage_ends_at_s(policy: Policy, rollout: Rollout, stage: int) -> float:
+    """Return when the present stage has lasted its share of the time left."""
+    started_s = rollout["stage_started_at_s"]
+    whole_s = rollout["complete_by_s"] - rollout["started_at_s"]
+    target_s = rollout["complete_by_s"] - FINISH_EARLY_SHARE * max(0.0, whole_s)
+    left_s = max(0.0, target_s - started_s)
+    shares = policy.time_shares[stage - 1 :]
+    return started_s + max(MIN_STAGE_S, left_s * shares[0] / sum(shares))
+
+
+def decide(
+    policy: Policy,
+    rollout: Rollout,
+    windows: list[list[RouteEvidence]],
+    stage_requests: int,
+    capacity_permille: int,
+    now_s: float,
+) -> Decision:
+    """Return what to do with a running rollout.
+
+    Args:
+        policy: the policy.
+        rollout: its state in the head.
+        windows: the evidence.
+        stage_requests: requests of the new version in this stage.
+        capacity_permille: weight that the new version's slots can carry.
+        now_s: wall clock.
+    """
+    weight = rollout["weight_permille"]
+    finding = find_fault(policy, windows)
+    if finding is not None:
+        return Decision(0, False, finding, finding.reason)
+    if rollout["state"] == "paused":
+        return Decision(weight, False, None, rollout["reason"])
+    stage = _stage_of(policy, weight)
+    if stage and now_s < _stage_ends_at_s(policy, rollout, stage):
+        return Decision(weight, False, None, rollout["reason"])
+    seen = f"{stage_requests} requests at {weight / 10:g} % showed no fault"
+    if not stage_requests and stage:
+        seen = f"thin evidence: no request at {weight / 10:g} %"
+    if stage == len(policy.weights_permille):
+        return Decision(weight, True, None, seen)
+    next_weight = policy.weights_permille[stage]
+    if next_weight > capacity_permille:
+        reason = f"waiting for slots: {capacity_permille / 10:g} % can be carried"
+        return Decision(weight, False, None, reason)
+    return Decision(next_weight, False, None, seen if stage else "started")
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,135 @@
+"""Demonstration: a small mesh serves, completes a rollout and rolls one back."""
+
+import sys
+import tempfile
+import threading
+import time
+from datetime import datetime, timedelta, timezone
+from pathlib import Path
+
+from standins.fleet import Fleet, open_fleet, wait_until
+
+__all__ = ["main", "write_catalogue"]
+
+LAYOUT = {"a1": "da", "a2": "da", "b1": "db", "b2": "db"}
+EXAMPLE = Path("examples/shop/catalogue.toml")
+ROLLOUT_S = 14
+CALL_PAUSE_S = 0.01
+
+
+def write_catalogue(
+    path: Path, edited_from: int, version: str, complete_in_s: float
+) -> None:
+    """Write the catalogue's document for another backend server version."""
+    complete_by = datetime.now(timezone.utc) + timedelta(seconds=complete_in_s)
+    text = EXAMPLE.read_text("utf-8")
+    text = text.replace("edited_from = 0", f"edited_from = {edited_from}")
+    text = text.replace('"v1"', f'"{version}"')
+    text = text.replace(
+        "2027-01-31T18:00:00Z", complete_by.strftime("%Y-%m-%dT%H:%M:%SZ")
+    )
+    path.write_text(text, "utf-8")
+
+
+class _Callers:
+    """Callers of some nodes, one thread each."""
+
+    def __init__(self, fleet: Fleet):
+        self.answers: dict[tuple[str, int], int] = {}
+        self._fleet = fleet
+        self._stopped: set[str] = set()
+        self._threads: dict[str, threading.Thread] = {}
+
+    def start(self, node_id: str) -> None:
+        thread = threading.Thread(target=self._run, args=(node_id,), daemon=True)
+        self._threads[node_id] = thread
+        thread.start()
+
+    def _run(self, node_id: str) -> None:
+        while node_id not in self._stopped:
+            reply = self._fleet.call(node_id, "/catalogue/page")
+            key = (reply.headers.get("x-version", "-"), reply.status)
+            self.answers[key] = self.answers.get(key, 0) + 1
+            time.sleep(CALL_PAUSE_S)
+
+    def stop(self, node_id: str) -> None:
+        self._stopped.add(node_id)
+        self._threads[node_id].join()
+
+    def stop_all(self) -> None:
+        for node_id in self._threads:
+            self.stop(node_id)
+
+
+def _say(text: str) -> None:
+    print(f"demo: {text}", flush=True)
+
+
+def _expect(is_met: bool, text: str) -> None:
+    if not is_met:
+        _say(f"failed: {text}")
+        sys.exit(1)
+
+
+def _rollout(fleet: Fleet, number: int, version: str) -> tuple[int, str]:
+    """Commit a version and wait for its verdict."""
+    file = fleet.folder / "catalogue.toml"
+    write_catalogue(file, number, version, ROLLOUT_S)
+    result = fleet.cli("apply", str(file))
+    _expect(result.returncode == 0, result.stderr)
+    result = fleet.cli("status", "catalogue", "--wait", "--timeout-s", "40")
+    return result.returncode, result.stdout.strip()
+
+
+def _run(fleet: Fleet) -> None:
+    result = fleet.cli("apply", "examples/shop")
+    _say(result.stdout.strip())
+    started: list[str] = []
+    for node_id, failure_domain in LAYOUT.items():
+        fleet.start_node(node_id, failure_domain, peers=tuple(started))
+        started.append(node_id)
+    fleet.wait_ready()
+    for index, node_id in enumerate(LAYOUT):
+        fleet.start_server(f"v1-{index}", node_id, version="v1")
+        fleet.start_server(f"v2-{index}", node_id, version="v2")
+        fleet.start_server(f"v3-{index}", node_id, version="v3", failing_share="0.5")
+    fleet.wait_targets("catalogue", 12)
+    callers = _Callers(fleet)
+    for node_id in LAYOUT:
+        callers.start(node_id)
+    wait_until(lambda: sum(callers.answers.values()) > 100, what="answers")
+    _expect(set(callers.answers) == {("v1", 200)}, f"answers {callers.answers}")
+    _say("four nodes in two failure domains answer callers with v1")
+
+    code, text = _rollout(fleet, 1, "v2")
+    _say(text)
+    _expect(code == 0, "v2 should have completed")
+    code, text = _rollout(fleet, 2, "v3")
+    _say(text)
+    _expect(code == 1, "v3 should have been rolled back")
+
+    callers.stop("b2")
+    _expect(fleet.stop(fleet.servers["v2-3"].process) == 0, "backend server's exit")
+    _expect(fleet.stop(fleet.nodes["b2"].process) == 0, "node's exit code")
+    _say("node b2 and its backend server have been stopped")
+    callers.stop_all()
+    failed = {
+        key: count
+        for key, count in callers.answers.items()
+        if key[1] != 200 and key[0] != "v3"
+    }
+    _expect(not failed, f"failed calls {failed}")
+    hurt = callers.answers.get(("v3", 500), 0)
+    _say(f"{sum(callers.answers.values())} calls, {hurt} hurt by v3, none by others")
+
+
+def main() -> None:
+    """Run the demonstration; the last line is ``demo: ok``."""
+    with tempfile.TemporaryDirectory(prefix="guavagap-demo-") as folder:
+        with open_fleet(Path(folder)) as fleet:
+            _run(fleet)
+    _say("ok")
+
+
+if __name__ == "__main__":
+    main()
