Run keyed requests at most once, and refuse poison requests together

Cause: a request with an Idempotency-Key was sent to the target that rendezvous hashing gave for it, and the target set differs between nodes and over time. And each node counted crashes alone: the test with 100 resends over two nodes lost all four backend servers.

Ruled out for keys: the record at the backend server's own node (its VM is what dies, and it forced keyed requests on the slow path); the platform (a few hundred writes a second cannot carry it). Ruled out for poison: refusing after one crash (it would blame every request in flight beside the bad one).

Change: a key is claimed at three witnesses, spread over failure domains, before the request runs; the claiming node keeps the answer; any doubt refuses. Strikes spread by datagram before the caller has its answer.

--- a/guavagap/caller_connections.py
+++ b/guavagap/caller_connections.py
@@ -10,6 +10,7 @@
 __all__ = ["CallerDownstream", "READ_AHEAD_BYTES"]
 
 READ_AHEAD_BYTES = 65_536
+MAX_RECORDED_BYTES = 65_536
 
 
 class CallerDownstream(Downstream):
@@ -21,6 +22,9 @@
         max_body_bytes: larger bodies are refused.
         read_timeout_s: limit of each wait for body bytes.
         extra_headers: added to each answer.
+
+    Attributes:
+        recorded: the answer so far, while ``is_recording``.
     """
 
     def __init__(
@@ -39,6 +43,9 @@
         self._read_timeout_s = read_timeout_s
         self._extra_headers = extra_headers
         self._body_bytes = 0
+        self.is_recording = False
+        self.recorded: AnswerHead | None = None
+        self._recorded_bytes = 0
 
     async def read_ahead(self) -> None:
         """Read the body until its end or until enough of it is at hand.
@@ -99,9 +106,25 @@
         events = [h11.Response(status_code=answer.status, headers=headers)]
         events += self._body_events(answer.chunks, answer.is_complete)
         self.is_answer_started = True
+        if self.is_recording:
+            self.recorded = answer._replace(chunks=[], is_complete=False)
+            self._record(answer.chunks, answer.is_complete)
         await self._send(events)
 
+    def _record(self, chunks: list[bytes], is_complete: bool) -> None:
+        """Keep body bytes until there are too many to keep."""
+        if self.recorded is None:
+            return
+        self._recorded_bytes += sum(map(len, chunks))
+        if self._recorded_bytes > MAX_RECORDED_BYTES:
+            self.recorded = None
+            return
+        self.recorded.chunks.extend(chunks)
+        self.recorded = self.recorded._replace(is_complete=is_complete)
+
     async def send_chunks(self, chunks, is_complete):
+        if self.is_recording:
+            self._record(chunks, is_complete)
         await self._send(self._body_events(chunks, is_complete))
 
     def _body_events(self, chunks: list[bytes], is_complete: bool) -> list:
--- a/guavagap/errors.py
+++ b/guavagap/errors.py
@@ -51,6 +51,8 @@
     CALLER_GONE = "caller_gone"
     KEY_IN_PROGRESS = "key_in_progress"
     KEY_OUTCOME_UNKNOWN = "key_outcome_unknown"
+    KEY_REUSED = "key_reused"
+    KEY_WITNESS_UNREACHABLE = "key_witness_unreachable"
     LINK_UNREACHABLE = "link_unreachable"
     LINK_LOST = "link_lost"
     AUTHENTICATION_FAILED = "authentication_failed"
@@ -109,6 +111,8 @@
     ErrorKind.CALLER_GONE: Answer(499, _UNKNOWN, "info", EXIT_REFUSED),
     ErrorKind.KEY_IN_PROGRESS: Answer(409, _UNKNOWN, "info", EXIT_REFUSED),
     ErrorKind.KEY_OUTCOME_UNKNOWN: Answer(409, _UNKNOWN, "warning", EXIT_REFUSED),
+    ErrorKind.KEY_REUSED: Answer(422, _NOT_RUN, "info", EXIT_REFUSED),
+    ErrorKind.KEY_WITNESS_UNREACHABLE: Answer(503, _NOT_RUN, "warning", EXIT_REFUSED),
     ErrorKind.LINK_UNREACHABLE: Answer(503, _NOT_RUN, "warning", EXIT_REFUSED),
     ErrorKind.LINK_LOST: Answer(502, _UNKNOWN, "warning", EXIT_REFUSED),
     ErrorKind.AUTHENTICATION_FAILED: Answer(403, _NOT_RUN, "warning", EXIT_REFUSED),
--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -53,7 +53,6 @@
     has_body: bool
     is_idempotent: bool
     deadline_s: float
-    idempotency_key: bytes = b""
 
 
 class AnswerHead(NamedTuple):
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -56,7 +56,6 @@
             first,
             is_whole,
             request.is_idempotent,
-            request.idempotency_key,
         )
         await self._stream.take_credit(len(first))
         self.is_written = True
@@ -171,5 +170,4 @@
         is_chunked or bool(content_length_bytes),
         opening.is_idempotent,
         time.monotonic() + opening.timeout_ms / 1000,
-        opening.idempotency_key,
     )
--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -12,6 +12,8 @@
     DeltaPush,
     DeltaRequest,
     EvidenceReport,
+    KeyClaim,
+    KeyLookup,
     MembersReply,
     MembersRequest,
     NoticesReply,
@@ -101,6 +103,16 @@
     await link.send(MembersReply(message.call_id, tuple(node.table.rows())))
 
 
+@handle_message.register
+async def _(message: KeyClaim, node, link) -> None:
+    await link.send(node.keys.witness(message))
+
+
+@handle_message.register
+async def _(message: KeyLookup, node, link) -> None:
+    await link.send(node.keys.answer_lookup(message))
+
+
 @handle_message.register
 async def _(message: EvidenceReport, node, link) -> None:
     node.evaluator.take_report(message)
--- /dev/null
+++ b/guavagap/idempotency.py
@@ -0,0 +1,248 @@
+"""Idempotency keys: a request with a key runs at most once in the mesh.
+
+Before a node runs a request with a key it claims the key at several witnesses,
+which follow from the key and the member table, one after the other and spread
+over failure domains. A claim that finds another owner is not run: the answer
+comes from that owner's record, or the request is refused. A witness that cannot
+be asked refuses the request as well, so a cut never makes it run twice. The key
+is forgotten ``KEY_LIFETIME_S`` after its claim, and when every witness of it
+has been restarted or replaced within that time.
+"""
+
+import uuid
+from collections import OrderedDict
+from typing import NamedTuple
+
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.exchange import AnswerHead
+from guavagap.links import LinkPool
+from guavagap.members import MemberTable
+from guavagap.messages import (
+    Header,
+    KeyClaim,
+    KeyClaimReply,
+    KeyLookup,
+    KeyLookupReply,
+    KeyState,
+    Member,
+    MemberState,
+)
+from guavagap.rendezvous import rendezvous_order
+
+__all__ = ["KEY_LIFETIME_S", "KeyGuard", "WITNESSES", "choose_witnesses"]
+
+WITNESSES = 3
+KEY_LIFETIME_S = 600.0
+MAX_KEYS = 50_000
+CLAIM_TIMEOUT_S = 1.0
+CLAIM_SEPARATOR = "#"
+
+
+class _Claimed(NamedTuple):
+    owner_id: str
+    digest: bytes
+    expires_at_s: float
+
+
+class _Outcome(NamedTuple):
+    state: KeyState
+    answer: AnswerHead | None
+    expires_at_s: float
+
+
+def choose_witnesses(key: bytes, rows: list[Member]) -> list[Member]:
+    """Return the witnesses of a key, in different failure domains if possible.
+
+    Args:
+        key: the idempotency key.
+        rows: every member that has neither left nor been declared dead.
+    """
+    order = rendezvous_order(key.hex(), rows, lambda row: row.node_id)
+    chosen: list[Member] = []
+    for row in order:
+        domains = {other.failure_domain for other in chosen}
+        if row.failure_domain not in domains and len(chosen) < WITNESSES:
+            chosen.append(row)
+    for row in order:
+        if len(chosen) < WITNESSES and row not in chosen:
+            chosen.append(row)
+    return chosen
+
+
+class KeyGuard:
+    """Claims keys for this node and is witness for others.
+
+    Args:
+        table: the member table.
+        links: links to witnesses and owners.
+        clock: monotonic seconds.
+    """
+
+    def __init__(self, table: MemberTable, links: LinkPool, clock):
+        self._table = table
+        self._links = links
+        self._clock = clock
+        self._claims: OrderedDict[bytes, _Claimed] = OrderedDict()
+        self._outcomes: OrderedDict[bytes, _Outcome] = OrderedDict()
+        self._running: dict[bytes, KeyClaim] = {}
+
+    def __len__(self) -> int:
+        return len(self._claims) + len(self._outcomes)
+
+    async def claim(self, key: bytes, digest: bytes) -> AnswerHead | None:
+        """Become the owner of a key.
+
+        Returns:
+            None when this node may run the request, otherwise the recorded
+            answer of the request that ran before.
+
+        Raises:
+            GuavagapError: KEY_IN_PROGRESS, KEY_OUTCOME_UNKNOWN, KEY_REUSED,
+                KEY_WITNESS_UNREACHABLE or OVERLOADED; nothing was run.
+        """
+        self._forget_expired()
+        if len(self._outcomes) >= MAX_KEYS:
+            raise GuavagapError(ErrorKind.OVERLOADED, "too many keys are remembered")
+        claim = KeyClaim(0, key, digest, self._next_claim_id(), False)
+        claimed: list[Member] = []
+        for witness in self._witnesses(key):
+            try:
+                reply = await self._ask(witness, claim)
+            except GuavagapError as error:
+                # The lost claim may have been recorded.
+                await self._release_at([*claimed, witness], claim)
+                raise GuavagapError(
+                    ErrorKind.KEY_WITNESS_UNREACHABLE,
+                    f"witness {witness.node_id}: {error.detail}",
+                ) from None
+            if reply.is_full or reply.is_taken:
+                await self._release_at(claimed, claim)
+            if reply.is_full:
+                raise GuavagapError(ErrorKind.OVERLOADED, "a witness is full")
+            if reply.is_taken:
+                return await self._earlier_answer(key, digest, reply)
+            claimed.append(witness)
+        self._keep_outcome(key, KeyState.RUNNING, None)
+        self._running[key] = claim
+        return None
+
+    def _next_claim_id(self) -> str:
+        """Return an owner identifier that no other claim has."""
+        return f"{self._table.own.node_id}{CLAIM_SEPARATOR}{uuid.uuid4().hex}"
+
+    def _witnesses(self, key: bytes) -> list[Member]:
+        rows = [
+            row
+            for row in self._table.rows()
+            if row.state in (MemberState.ALIVE, MemberState.SUSPECT)
+        ]
+        return choose_witnesses(key, rows)
+
+    async def _ask(self, witness: Member, claim: KeyClaim) -> KeyClaimReply:
+        if witness.node_id == self._table.own.node_id:
+            return self.witness(claim)
+        link = await self._links.get(witness.node_id)
+        return await link.call(claim, CLAIM_TIMEOUT_S)
+
+    async def _release_at(self, witnesses: list[Member], claim: KeyClaim) -> None:
+        for witness in witnesses:
+            try:
+                await self._ask(witness, claim._replace(is_release=True))
+            except GuavagapError:
+                # The record expires; until then the key is refused there.
+                continue
+
+    async def _earlier_answer(
+        self, key: bytes, digest: bytes, reply: KeyClaimReply
+    ) -> AnswerHead:
+        if reply.digest != digest:
+            raise GuavagapError(
+                ErrorKind.KEY_REUSED, "the key was used for another request"
+            )
+        record = await self._look_up(key, reply.owner_id)
+        if record.state == KeyState.RUNNING:
+            raise GuavagapError(
+                ErrorKind.KEY_IN_PROGRESS, "the first request is still running"
+            )
+        if record.state != KeyState.DONE:
+            raise GuavagapError(
+                ErrorKind.KEY_OUTCOME_UNKNOWN,
+                "the request may have run before; its answer is not known",
+            )
+        headers = [tuple(header) for header in record.headers]
+        return AnswerHead(record.status, headers, [record.body], True)
+
+    async def _look_up(self, key: bytes, owner_id: str) -> KeyLookupReply:
+        lookup = KeyLookup(0, key)
+        node_id = owner_id.partition(CLAIM_SEPARATOR)[0]
+        if node_id == self._table.own.node_id:
+            return self.answer_lookup(lookup)
+        try:
+            link = await self._links.get(node_id)
+            return await link.call(lookup, CLAIM_TIMEOUT_S)
+        except GuavagapError:
+            return KeyLookupReply(0, int(KeyState.UNKNOWN), 0, (), b"")
+
+    def finish(self, key: bytes, answer: AnswerHead | None) -> None:
+        """Keep the outcome of a request that was, or may have been, run.
+
+        Args:
+            key: the key.
+            answer: the whole answer, None when it is unknown or too large.
+        """
+        self._running.pop(key, None)
+        is_known = answer is not None and answer.is_complete
+        state = KeyState.DONE if is_known else KeyState.UNKNOWN
+        self._keep_outcome(key, state, answer if is_known else None)
+
+    async def release(self, key: bytes) -> None:
+        """Give a key back because its request was not run."""
+        self._outcomes.pop(key, None)
+        claim = self._running.pop(key, None)
+        if claim is not None:
+            await self._release_at(self._witnesses(key), claim)
+
+    def _keep_outcome(
+        self, key: bytes, state: KeyState, answer: AnswerHead | None
+    ) -> None:
+        self._outcomes.pop(key, None)
+        expires_at_s = self._clock() + KEY_LIFETIME_S
+        self._outcomes[key] = _Outcome(state, answer, expires_at_s)
+
+    def witness(self, claim: KeyClaim) -> KeyClaimReply:
+        """Record a claim as a witness, or forget it."""
+        self._forget_expired()
+        held = self._claims.get(claim.key)
+        if claim.is_release:
+            if held is not None and held.owner_id == claim.owner_id:
+                del self._claims[claim.key]
+            return KeyClaimReply(claim.call_id, False, "", b"", False)
+        if held is not None:
+            return KeyClaimReply(claim.call_id, True, held.owner_id, held.digest, False)
+        if len(self._claims) >= MAX_KEYS:
+            return KeyClaimReply(claim.call_id, False, "", b"", True)
+        expires_at_s = self._clock() + KEY_LIFETIME_S
+        self._claims[claim.key] = _Claimed(claim.owner_id, claim.digest, expires_at_s)
+        return KeyClaimReply(claim.call_id, False, claim.owner_id, b"", False)
+
+    def answer_lookup(self, lookup: KeyLookup) -> KeyLookupReply:
+        """Return what this node knows of a key that it owns."""
+        outcome = self._outcomes.get(lookup.key)
+        if outcome is None or outcome.answer is None:
+            state = KeyState.UNKNOWN if outcome is None else outcome.state
+            return KeyLookupReply(lookup.call_id, int(state), 0, (), b"")
+        answer = outcome.answer
+        headers = tuple(Header(*header) for header in answer.headers)
+        body = b"".join(answer.chunks)
+        return KeyLookupReply(
+            lookup.call_id, int(outcome.state), answer.status, headers, body
+        )
+
+    def _forget_expired(self) -> None:
+        now_s = self._clock()
+        for records in (self._claims, self._outcomes):
+            while records:
+                key = next(iter(records))
+                if records[key].expires_at_s > now_s:
+                    break
+                del records[key]
--- a/guavagap/messages.py
+++ b/guavagap/messages.py
@@ -17,10 +17,11 @@
     "EvidenceRow",
     "Header",
     "Hello",
-    "KeyRecord",
+    "KeyClaim",
+    "KeyClaimReply",
+    "KeyLookup",
+    "KeyLookupReply",
     "KeyState",
-    "KeyWitnessReply",
-    "KeyWitnessRequest",
     "Member",
     "MemberState",
     "MembersReply",
@@ -101,10 +102,15 @@
 
 
 class PoisonMark(NamedTuple):
-    """A request fingerprint to refuse for some time."""
+    """A strike against a request, or its quarantine.
+
+    Attributes:
+        server_id: the backend server that crashed; empty for a quarantine.
+    """
 
     fingerprint: bytes
     ttl_ms: int
+    server_id: str = ""
 
 
 class DatagramKind(IntEnum):
@@ -171,8 +177,6 @@
     body: bytes
     is_complete: bool
     is_idempotent: bool
-    idempotency_key: bytes = b""
-    fingerprint: bytes = b""
 
 
 class StreamData(NamedTuple):
@@ -329,38 +333,57 @@
 
 
 class KeyState(IntEnum):
-    """What is known of a request with an idempotency key."""
+    """What the owner of an idempotency key knows of its request."""
 
-    RUNNING = 0
-    DONE = 1
-    NOT_RUN = 2
+    UNKNOWN = 0
+    RUNNING = 1
+    DONE = 2
 
 
-class KeyRecord(NamedTuple):
-    """One idempotency key as a witness keeps it."""
+class KeyClaim(NamedTuple):
+    """Asks a witness to remember the owner of a key, or to forget it.
+
+    Attributes:
+        digest: fingerprint of the request.
+        is_release: True when the request was not run.
+    """
 
+    call_id: int
     key: bytes
     digest: bytes
-    state: int
     owner_id: str
+    is_release: bool
+
 
+class KeyClaimReply(NamedTuple):
+    """Answer to :class:`KeyClaim`.
 
-class KeyWitnessRequest(NamedTuple):
-    """Records a key at a witness, or asks what it has recorded."""
+    Attributes:
+        is_taken: True when the key had an owner before.
+        owner_id: that owner.
+        digest: fingerprint of that owner's request.
+        is_full: True when the witness can remember no more keys.
+    """
 
     call_id: int
-    record: KeyRecord
-    is_query: bool
+    is_taken: bool
+    owner_id: str
+    digest: bytes
+    is_full: bool
 
 
-class KeyWitnessReply(NamedTuple):
-    """Answer to :class:`KeyWitnessRequest`.
+class KeyLookup(NamedTuple):
+    """Asks the owner of a key for its request's answer."""
+
+    call_id: int
+    key: bytes
 
-    Attributes:
-        is_held: True when the witness had a record of the key before.
-        record: that earlier record, or the new one.
-    """
+
+class KeyLookupReply(NamedTuple):
+    """Answer to :class:`KeyLookup`, with the recorded answer when it is done."""
 
     call_id: int
-    is_held: bool
-    record: KeyRecord
+    state: int
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -22,6 +22,7 @@
 from guavagap.exchange import AnswerHead, Attempt, Downstream, ForwardedRequest
 from guavagap.faults import BlockedAddresses
 from guavagap.handlers import handle_message
+from guavagap.idempotency import KeyGuard
 from guavagap.link import LinkIdentity, TrafficCounts
 from guavagap.links import LinkPool
 from guavagap.logs import get_logger
@@ -136,6 +137,7 @@
             settings.relay_lease_ttl_s,
             self._introduce_to,
         )
+        self.keys = KeyGuard(self.table, self.links, time.monotonic)
         self.proxy = Proxy(self)
         self.evaluator = Evaluator(self)
         self._synced_at_s = 0.0
--- a/guavagap/poison.py
+++ b/guavagap/poison.py
@@ -49,7 +49,7 @@
         self._clock = clock
         self._strikes: OrderedDict[bytes, _Strikes] = OrderedDict()
         self._quarantined: OrderedDict[bytes, float] = OrderedDict()
-        self._marks_left: dict[bytes, int] = {}
+        self._marks_left: dict[tuple[bytes, str], int] = {}
 
     def __bool__(self) -> bool:
         return bool(self._strikes or self._quarantined)
@@ -71,15 +71,19 @@
 
     def note_crash(self, fingerprint: bytes, server_id: str) -> bool:
         """Count a strike; return whether the fingerprint is now refused."""
+        if self.is_quarantined(fingerprint):
+            return True
         now_s = self._clock()
         held = self._strikes.pop(fingerprint, None)
         if held is None or held.expires_at_s <= now_s:
-            held = _Strikes(frozenset(), 0)
+            held = _Strikes(frozenset(), now_s + STRIKE_LIFETIME_S)
         server_ids = held.server_ids | {server_id}
         if len(server_ids) >= STRIKES_TO_QUARANTINE:
             self._quarantine(fingerprint, QUARANTINE_S)
             return True
-        self._strikes[fingerprint] = _Strikes(server_ids, now_s + STRIKE_LIFETIME_S)
+        self._strikes[fingerprint] = held._replace(server_ids=server_ids)
+        if server_ids != held.server_ids:
+            self._marks_left[fingerprint, server_id] = MARK_TRANSMISSIONS
         if len(self._strikes) > MAX_FINGERPRINTS:
             self._strikes.popitem(last=False)
         return False
@@ -90,26 +94,34 @@
 
     def _quarantine(self, fingerprint: bytes, ttl_s: float) -> None:
         self._quarantined[fingerprint] = self._clock() + ttl_s
-        self._marks_left[fingerprint] = MARK_TRANSMISSIONS
+        self._marks_left[fingerprint, ""] = MARK_TRANSMISSIONS
         if len(self._quarantined) > MAX_FINGERPRINTS:
-            oldest, _ = self._quarantined.popitem(last=False)
-            self._marks_left.pop(oldest, None)
+            self._quarantined.popitem(last=False)
 
     def merge(self, mark: PoisonMark) -> None:
-        """Take a quarantine from another node."""
-        if not self.is_quarantined(mark.fingerprint):
+        """Take a strike or a quarantine from another node."""
+        if mark.server_id:
+            self.note_crash(mark.fingerprint, mark.server_id)
+        elif not self.is_quarantined(mark.fingerprint):
             ttl_s = min(mark.ttl_ms / 1000, QUARANTINE_S)
             self._quarantine(mark.fingerprint, ttl_s)
 
     def take_marks(self, limit: int) -> tuple[PoisonMark, ...]:
-        """Return quarantines to pass on, and count them as told."""
+        """Return marks to pass on, and count them as told."""
         marks = []
-        for fingerprint, left in list(self._marks_left.items())[:limit]:
-            left_s = self._quarantined.get(fingerprint, 0) - self._clock()
+        for key, left in list(self._marks_left.items())[:limit]:
+            fingerprint, server_id = key
+            left_s = self._expires_at_s(fingerprint, server_id) - self._clock()
             if left_s > 0:
-                marks.append(PoisonMark(fingerprint, int(left_s * 1000)))
+                marks.append(PoisonMark(fingerprint, int(left_s * 1000), server_id))
             if left <= 1 or left_s <= 0:
-                del self._marks_left[fingerprint]
+                del self._marks_left[key]
             else:
-                self._marks_left[fingerprint] = left - 1
+                self._marks_left[key] = left - 1
         return tuple(marks)
+
+    def _expires_at_s(self, fingerprint: bytes, server_id: str) -> float:
+        if not server_id:
+            return self._quarantined.get(fingerprint, 0.0)
+        strikes = self._strikes.get(fingerprint)
+        return 0.0 if strikes is None else strikes.expires_at_s
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -46,6 +46,7 @@
 MAX_KEY_BYTES = 256
 VIA = (b"via", b"1.1 guavagap")
 WATCH_INTERVAL_S = 0.1
+STRIKE_GOSSIP_TARGETS = 6
 LINGER_S = 1.0
 LINGER_BYTES = 262_144
 FAILURE_STATUS = 500
@@ -68,6 +69,7 @@
     downstream: CallerDownstream
     is_marked: bool
     fingerprint: bytes
+    idempotency_key: bytes
 
 
 class _Watched:
@@ -259,7 +261,6 @@
             head.has_body,
             route.is_idempotent,
             time.monotonic() + _timeout_s(head, route),
-            self._idempotency_key(head, route),
         )
         sticky_value = None
         if route.sticky_header is not None:
@@ -269,7 +270,10 @@
         fingerprint = b""
         if self._node.poison:
             fingerprint = fingerprint_of(head.method, head.target, downstream.chunks)
-        return _Exchange(route, version, request, downstream, is_marked, fingerprint)
+        key = self._idempotency_key(head, route)
+        return _Exchange(
+            route, version, request, downstream, is_marked, fingerprint, key
+        )
 
     def _idempotency_key(self, head: RequestHead, route: CompiledRoute) -> bytes:
         if route.is_idempotent:
@@ -288,6 +292,41 @@
             raise GuavagapError(
                 ErrorKind.POISON_REQUEST, "this request has crashed backend servers"
             )
+        if exchange.idempotency_key:
+            await self._run_once(exchange)
+        else:
+            await self._run_attempts(exchange)
+
+    async def _run_once(self, exchange: _Exchange) -> None:
+        """Run a request with an idempotency key, or answer from its record."""
+        keys, key = self._node.keys, exchange.idempotency_key
+        request, downstream = exchange.request, exchange.downstream
+        if not downstream.is_body_complete:
+            raise GuavagapError(
+                ErrorKind.BODY_TOO_LARGE,
+                "a request with an Idempotency-Key must fit the read-ahead",
+            )
+        digest = fingerprint_of(request.method, request.target, downstream.chunks)
+        recorded = await keys.claim(key, digest)
+        if recorded is not None:
+            self.counts["answers_from_record"] += 1
+            await downstream.send_answer(recorded)
+            return
+        downstream.is_recording = True
+        is_run = True
+        try:
+            await self._run_attempts(exchange)
+        except GuavagapError as error:
+            is_answered = downstream.is_answer_started
+            is_run = is_answered or not answer_for(error.kind).is_not_run
+            raise
+        finally:
+            if is_run:
+                keys.finish(key, downstream.recorded)
+            else:
+                await keys.release(key)
+
+    async def _run_attempts(self, exchange: _Exchange) -> None:
         budget = self._budget(exchange.route)
         excluded: set[str] = set()
         attempts = 0
@@ -309,12 +348,7 @@
 
     def _choose(self, exchange: _Exchange, excluded: set[str]) -> Target:
         router, route = self._node.router, exchange.route
-        if exchange.request.idempotency_key:
-            target = router.choose_for_key(
-                route, exchange.version, exchange.request.idempotency_key
-            )
-        else:
-            target = router.choose_target(route, exchange.version, excluded)
+        target = router.choose_target(route, exchange.version, excluded)
         if target is None:
             raise GuavagapError(
                 ErrorKind.NO_BACKEND_SERVER,
@@ -354,6 +388,8 @@
                 answer = await self._send(exchange, target, attempt)
         except GuavagapError as error:
             self._learn_failure(exchange, target, error, started_s)
+            if error.kind in _CRASH_KINDS:
+                await self._note_crash(exchange, target)
             raise
         finally:
             health.in_flight -= 1
@@ -369,12 +405,11 @@
             self.counts["path_local"] += 1
             server_id = target.server.server_id
             return await node.run_local(server_id, request, downstream, attempt)
-        if not request.idempotency_key:
-            upstream = await node.direct.take(target)
-            if upstream is not None:
-                self.counts["path_direct"] += 1
-                attempt.upstream = upstream
-                return await relay_exchange(request, downstream, upstream)
+        upstream = await node.direct.take(target)
+        if upstream is not None:
+            self.counts["path_direct"] += 1
+            attempt.upstream = upstream
+            return await relay_exchange(request, downstream, upstream)
         self.counts["path_forwarded"] += 1
         link = await node.links.get(target.node_id)
         upstream = StreamExchange(link.open_stream(), target.server.server_id)
@@ -413,15 +448,16 @@
             return
         target.health.note_failure(now_s, is_unreachable=False)
         self._record(exchange, target, True, now_s - started_s)
-        if error.kind not in _CRASH_KINDS:
-            return
+
+    async def _note_crash(self, exchange: _Exchange, target: Target) -> None:
+        """Count a strike and tell others before the caller can send it again."""
         request = exchange.request
         fingerprint = exchange.fingerprint or fingerprint_of(
             request.method, request.target, exchange.downstream.chunks
         )
         if self._node.poison.note_crash(fingerprint, target.server.server_id):
             log.warning("request quarantined", fingerprint=fingerprint.hex())
-            self._node.spread_soon()
+        await self._node.membership.gossip_now(STRIKE_GOSSIP_TARGETS)
 
     def _record(
         self, exchange: _Exchange, target: Target, is_failure: bool, latency_s: float
--- a/guavagap/routing.py
+++ b/guavagap/routing.py
@@ -10,7 +10,6 @@
 import time
 
 from guavagap.directory import Directory, Target
-from guavagap.rendezvous import rendezvous_order
 from guavagap.snapshot import CompiledRoute, ServiceState
 
 __all__ = ["Router", "saturation"]
@@ -116,20 +115,6 @@
                 return self._choose_among(route, targets)
         return None
 
-    def choose_for_key(
-        self, route: CompiledRoute, version: str, key: bytes
-    ) -> Target | None:
-        """Return the one target that is responsible for an idempotency key."""
-        pool = route.pool
-        for allowed in self.allowed_versions(route, version):
-            targets = self._directory.targets(pool.service, pool.name, allowed)
-            if targets:
-                order = rendezvous_order(
-                    key.hex(), targets, lambda item: item.server.server_id
-                )
-                return order[0]
-        return None
-
     def _choose_among(
         self, route: CompiledRoute, targets: tuple[Target, ...]
     ) -> Target:
--- a/guavagap/schemas/mesh.capnp
+++ b/guavagap/schemas/mesh.capnp
@@ -31,7 +31,7 @@
 
 struct Notice { service @0 :Text; version @1 :Text; reason @2 :Text; }
 
-struct PoisonMark { fingerprint @0 :Data; ttlMs @1 :UInt32; }
+struct PoisonMark { fingerprint @0 :Data; ttlMs @1 :UInt32; serverId @2 :Text; }
 
 struct Datagram {
   senderId @0 :Text;
@@ -62,8 +62,6 @@
   body @6 :Data;
   isComplete @7 :Bool;
   isIdempotent @8 :Bool;
-  idempotencyKey @9 :Data;
-  fingerprint @10 :Data;
 }
 struct StreamData { streamId @0 :UInt64; body @1 :Data; isComplete @2 :Bool; }
 struct StreamCredit { streamId @0 :UInt64; creditBytes @1 :UInt32; }
@@ -103,14 +101,16 @@
 }
 struct EvidenceReport { sourceId @0 :Text; rows @1 :List(EvidenceRow); isSummed @2 :Bool; }
 
-struct KeyRecord {
-  key @0 :Data;
-  digest @1 :Data;
-  state @2 :UInt8;
-  ownerId @3 :Text;
+struct KeyClaim { callId @0 :UInt64; key @1 :Data; digest @2 :Data; ownerId @3 :Text; isRelease @4 :Bool; }
+struct KeyClaimReply { callId @0 :UInt64; isTaken @1 :Bool; ownerId @2 :Text; digest @3 :Data; isFull @4 :Bool; }
+struct KeyLookup { callId @0 :UInt64; key @1 :Data; }
+struct KeyLookupReply {
+  callId @0 :UInt64;
+  state @1 :UInt8;
+  status @2 :UInt16;
+  headers @3 :List(Header);
+  body @4 :Data;
 }
-struct KeyWitnessRequest { callId @0 :UInt64; record @1 :KeyRecord; isQuery @2 :Bool; }
-struct KeyWitnessReply { callId @0 :UInt64; isHeld @1 :Bool; record @2 :KeyRecord; }
 
 struct Frame {
   union {
@@ -132,7 +132,9 @@
     noticesRequest @15 :NoticesRequest;
     noticesReply @16 :NoticesReply;
     evidenceReport @17 :EvidenceReport;
-    keyWitnessRequest @18 :KeyWitnessRequest;
-    keyWitnessReply @19 :KeyWitnessReply;
+    keyClaim @18 :KeyClaim;
+    keyClaimReply @19 :KeyClaimReply;
+    keyLookup @20 :KeyLookup;
+    keyLookupReply @21 :KeyLookupReply;
   }
 }
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -32,6 +32,7 @@
 __all__ = ["BackendServerStandIn", "main"]
 
 RENEW_INTERVAL_S = 2.0
+RETRY_INTERVAL_S = 0.1
 CHUNK_BYTES = 16_384
 
 
@@ -63,6 +64,8 @@
         self.connections = 0
         self.peak_connections = 0
         self.ledger: dict[str, int] = {}
+        self.leaving = curio.Event()
+        self.left = curio.Event()
 
     async def serve(self, sock) -> None:
         """Serve one connection."""
@@ -83,6 +86,9 @@
     async def _serve_request(self, connection, head: RequestHead) -> bool:
         if head.target == b"/_ledger":
             return await self._send_ledger(connection)
+        if head.target == b"/_leave":
+            await self.leaving.set()
+            return await self._send_ledger(connection)
         if header_value(head.headers, b"x-crash") is not None:
             os._exit(70)
         body_bytes = await self._read_body(connection)
@@ -161,15 +167,23 @@
         return connection.start_next_cycle()
 
 
-async def _announce_forever(admin: Address, server_id: str, announcement: dict) -> None:
+async def _announce(admin: Address, server, announcement: dict) -> None:
+    """Renew the announcement until the server leaves, then say so."""
     body = json.dumps(announcement).encode()
-    target = f"/backend-servers/{server_id}".encode()
-    while True:
+    target = f"/backend-servers/{server.server_id}".encode()
+    while not server.leaving.is_set():
+        pause_s = RENEW_INTERVAL_S
         try:
             await call_http(admin, HttpRequest(b"PUT", target, [], body), 2.0)
-            await curio.sleep(RENEW_INTERVAL_S)
         except GuavagapError:
-            await curio.sleep(0.1)
+            pause_s = RETRY_INTERVAL_S
+        await curio.ignore_after(pause_s, server.leaving.wait)
+    try:
+        await call_http(admin, HttpRequest(b"DELETE", target, []), 2.0)
+    except GuavagapError:
+        # A node that is gone lets the announcement lapse.
+        pass
+    await server.left.set()
 
 
 async def _run_server(server, address: Address, admin, announcement: dict) -> None:
@@ -184,16 +198,10 @@
         if admin is None:
             await shutdown.recv(1)
             return
-        announcer = await scope.spawn(
-            _announce_forever, admin, server.server_id, announcement
-        )
+        await scope.spawn(_announce, admin, server, announcement)
         await shutdown.recv(1)
-        await announcer.cancel()
-        target = f"/backend-servers/{server.server_id}".encode()
-        try:
-            await call_http(admin, HttpRequest(b"DELETE", target, []), 2.0)
-        except GuavagapError:
-            return
+        await server.leaving.set()
+        await server.left.wait()
         while server.in_flight:
             await curio.sleep(0.05)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -264,6 +264,10 @@
         fields = {"Host": host, **(headers or {})}
         return http_call(self.nodes[node_id].caller_port, method, path, body, fields)
 
+    def leave(self, server_id: str) -> None:
+        """Tell a backend server to leave while it goes on serving."""
+        http_call(self.servers[server_id].port, "POST", "/_leave")
+
     def ledger(self, server_id: str) -> dict:
         """Return the run ledger of a backend server."""
         return json.loads(
