--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 
 from bench.report import Report
 
-NAMES = ("latency",)
+NAMES = ("latency", "control")
 
 
 def main() -> None:
--- a/guavagap/link.py
+++ b/guavagap/link.py
@@ -58,6 +58,7 @@
     sent_bytes: Counter
     received_bytes: Counter
     sent_frames: Counter
+    received_frames: Counter
 
 
 class _FrameChannel:
@@ -113,9 +114,9 @@
             )
         self._received += 1
         message = decode_frame(body)
-        self._counts.received_bytes[type(message).__name__] += (
-            len(head) + len(mac) + len(body)
-        )
+        name = type(message).__name__
+        self._counts.received_bytes[name] += len(head) + len(mac) + len(body)
+        self._counts.received_frames[name] += 1
         return message
 
     async def _read(self, size_bytes: int) -> bytes:
--- a/guavagap/metrics.py
+++ b/guavagap/metrics.py
@@ -97,12 +97,11 @@
         self._count("links_refused_total", "Links refused.", node.links.refused_count)
         for name, value in node.membership.counts.items():
             self._count("datagrams_total", "Datagram counts.", value, what=name)
-        for frame, value in node.traffic.sent_bytes.items():
-            self._count("link_sent_bytes_total", "Bytes by frame.", value, frame=frame)
-        for frame, value in node.traffic.received_bytes.items():
-            self._count(
-                "link_received_bytes_total", "Bytes by frame.", value, frame=frame
-            )
+        for name, values in node.traffic._asdict().items():
+            for frame, value in values.items():
+                self._count(
+                    f"link_{name}_total", "Link traffic by frame.", value, frame=frame
+                )
 
     def _collect_proxy(self) -> None:
         node = self._node
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -97,7 +97,7 @@
         self.announcements = AnnouncementRegistry(time.monotonic)
         self.fronts: dict[str, BackendFront] = {}
         self.table = MemberTable(_own_row(settings), time.monotonic)
-        self.traffic = TrafficCounts(Counter(), Counter(), Counter())
+        self.traffic = TrafficCounts(*(Counter() for _ in range(4)))
         self.links = LinkPool(
             LinkIdentity(settings.node_id, settings.mesh_key_bytes),
             self.table,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -19,6 +19,7 @@
 
 MESH_KEY = "an-example-mesh-key-of-enough-bytes"
 START_TIMEOUT_S = 20.0
+MEMBERS_TIMEOUT_S = 120.0
 STOP_TIMEOUT_S = 30.0
 CALL_TIMEOUT_S = 15.0
 
@@ -355,6 +356,14 @@
                 f"{node_id} at epoch {epoch}",
             )
 
+    def wait_members(self, node_id: str, count: int) -> None:
+        """Wait until a node knows that many living members."""
+
+        def known() -> bool:
+            return self.metrics(node_id).get("guavagap_members", 0) == count
+
+        wait_until(known, MEMBERS_TIMEOUT_S, f"{node_id} knows {count} members")
+
     def wait_targets(self, service: str, count: int, *node_ids: str) -> None:
         """Wait until nodes know that many backend servers of a service."""
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -84,7 +84,7 @@
 
 
 def _counts() -> TrafficCounts:
-    return TrafficCounts(Counter(), Counter(), Counter())
+    return TrafficCounts(*(Counter() for _ in range(4)))
 
 
 class LinkTests(AsyncTestCase):
