Prove rollouts under failure, and cut the cost of control

Standby candidates for the relay's lease read it at each renewal: 23 platform calls a second with 32 nodes at rest.

Ruled out: longer permits (a leaving backend server must lose them in seconds).

Change: permits are renewed at two thirds of their time, with an early retry; each node prefers two targets of a pool, in its own order; windows keep running sums; the directory is rebuilt at most every 50 ms; standby candidates wait half the lease's time between reads.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 
 from bench.report import Report
 
-NAMES = ("latency", "control")
+NAMES = ("capacity", "control", "latency", "mechanisms")
 
 
 def main() -> None:
--- /dev/null
+++ b/bench/mechanisms.py
@@ -0,0 +1,344 @@
+"""Shows that each proof needs its mechanism: the test fails with it taken out.
+
+For each promise the package is copied to a scratch folder, one mechanism is
+taken out of the copy, and the promise's test is run there. A test that passes
+all the same proves nothing, and makes this fail.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+from bench.report import Report
+
+__all__ = ["MECHANISMS", "Mechanism", "run"]
+
+COPIED = ("guavagap", "standins", "tests", "examples", "pyproject.toml")
+TEST_TIMEOUT_S = 240
+WORKERS = 2
+TEST_FAILED = 1
+
+
+class Cut(NamedTuple):
+    """One piece of source text and what stands there without the mechanism."""
+
+    file: str
+    old: str
+    new: str
+
+
+class Mechanism(NamedTuple):
+    """A mechanism, how it is taken out, and the test that must fail then."""
+
+    name: str
+    test: str
+    cuts: tuple[Cut, ...]
+
+
+def _cut(name: str, test: str, *parts: str) -> Mechanism:
+    """Return a mechanism; ``parts`` are file, old and new text in turn."""
+    cuts = tuple(Cut(*parts[index : index + 3]) for index in range(0, len(parts), 3))
+    return Mechanism(name, test, cuts)
+
+
+MECHANISMS = (
+    _cut(
+        "epoch only rises",
+        "test_configuration.py::ApplyTests::test_lower_or_equal_epoch",
+        "configuration.py",
+        "if delta.epoch <= self.epoch:",
+        "if delta.epoch < 0:",
+    ),
+    _cut(
+        "routes are checked against pools",
+        "test_configuration.py::ApplyTests::test_bad_document_takes",
+        "documents.py",
+        'if route["pool"] not in pool_names:',
+        "if False:",
+    ),
+    _cut(
+        "a commit is taken whole",
+        "test_configuration.py::ApplyTests::test_bad_document_takes",
+        "configuration.py",
+        "            return str(checked.error[0])",
+        "            continue",
+    ),
+    _cut(
+        "content is checked by digest",
+        "test_configuration.py::ApplyTests::test_gap_wrong_digest",
+        "head.py",
+        "if digest_of_head(delta.epoch, entries) != delta.head_digest:",
+        "if False:",
+    ),
+    _cut(
+        "compare-and-swap",
+        "test_commits.py::CommitTests::test_race_on_one_document",
+        "platform.py",
+        "if actual != expected:",
+        "if False:",
+    ),
+    _cut(
+        "own change recognised",
+        "test_commits.py::CommitTests::test_lost_answer",
+        "commits.py",
+        "            if epoch is not None:\n                return Commit",
+        "            if False:\n                return Commit",
+    ),
+    _cut(
+        "audit record written by the next commit",
+        "test_commits.py::CommitTests::test_audit_record",
+        "commits.py",
+        'await _write_audit(platform, head["change"])',
+        "pass",
+    ),
+    _cut(
+        "fetch on a higher epoch",
+        "test_mesh_failures.py::RelayTests::test_domain_cut_from_the_platform",
+        "dissemination.py",
+        "if epoch > own_epoch and not self._is_fetching:",
+        "if False:",
+    ),
+    _cut(
+        "lease lapses",
+        "test_mesh_failures.py::RelayTests::test_killed_relay",
+        "relay.py",
+        "key, self._lease_body(), lease.revision, self._lease_ttl_s",
+        "key, self._lease_body(), lease.revision, None",
+    ),
+    _cut(
+        "refutation by incarnation",
+        "test_mesh_failures.py::RelayTests::test_relay_frozen",
+        "members.py",
+        "self._store(own._replace(incarnation=candidate.incarnation + 1))",
+        "pass",
+    ),
+    _cut(
+        "failure domain unreachable as one",
+        "test_mesh_failures.py::CutTests::test_cut_domain",
+        "membership.py",
+        "if self._is_domain_silent(row, suspicion.since_s):",
+        "if False:",
+    ),
+    _cut(
+        "learning from peers",
+        "test_mesh_failures.py::RestartTests::test_node_restarted_without",
+        "node.py",
+        "seen = self.disseminator.highest_epoch_seen",
+        "seen = 0",
+    ),
+    _cut(
+        "refusal before anything is learned",
+        "test_mesh_failures.py::RestartTests::test_all_restarted_without",
+        "proxy.py",
+        "if not node.is_ready:",
+        "if False:",
+    ),
+    _cut(
+        "alarm on a history that went back",
+        "test_mesh_failures.py::PlatformTests::test_platform_that_went_back",
+        "relay.py",
+        "        self.went_back = went_back",
+        "        self.went_back = False",
+    ),
+    _cut(
+        "rejection leaves other teams alone",
+        "test_mesh_failures.py::RejectionTests",
+        "commits.py",
+        "if error.kind is not ErrorKind.CONFIGURATION_REJECTED:",
+        "if True:",
+    ),
+    _cut(
+        "retry table",
+        "test_proxy_failures.py::AtMostOnceTests::test_crash_of_the_backend",
+        "retries.py",
+        "return failure.is_idempotent and failure.attempts == 1",
+        "return failure.attempts == 1",
+    ),
+    _cut(
+        "not run is told from unknown",
+        "test_proxy_failures.py::AtMostOnceTests::test_frozen_backend_server",
+        "exchange.py",
+        "        if attempt.is_written:",
+        "        if False:",
+    ),
+    _cut(
+        "retry on another backend server",
+        "test_proxy_failures.py::AtMostOnceTests::test_post_on_a_dead",
+        "retries.py",
+        "        return answer_for(failure.kind).is_not_run",
+        "        return False",
+    ),
+    _cut(
+        "witnesses of a key",
+        "test_proxy_failures.py::KeyTests::test_resend_is_answered",
+        "idempotency.py",
+        "if held is not None:\n            return KeyClaimReply",
+        "if False:\n            return KeyClaimReply",
+    ),
+    _cut(
+        "refusal when a witness cannot be asked",
+        "test_proxy_failures.py::KeyTests::test_cut_between_domains",
+        "idempotency.py",
+        "                # The lost claim may have been recorded.\n",
+        "                continue\n",
+    ),
+    _cut(
+        "quarantine",
+        "test_proxy_failures.py::PoisonTests",
+        "poison.py",
+        "if len(server_ids) >= STRIKES_TO_QUARANTINE:",
+        "if False:",
+    ),
+    _cut(
+        "draining is acted on",
+        "test_proxy_failures.py::DrainTests::test_leaving_backend_server",
+        "directory.py",
+        "if server.is_draining:",
+        "if False:",
+        "node.py",
+        "if server.is_draining and not front.admission.is_draining:",
+        "if False:",
+    ),
+    _cut(
+        "drain waits for what is in flight",
+        "test_proxy_failures.py::DrainTests::test_request_in_flight",
+        "daemon.py",
+        "while time.monotonic() < deadline_s and _work_in_flight(node):",
+        "while False:",
+    ),
+    _cut(
+        "admission by slots",
+        "test_proxy_failures.py::LimitTests::test_slots_are_never",
+        "limits.py",
+        "if self.in_flight < self.slots:",
+        "if True:",
+    ),
+    _cut(
+        "permits for connections",
+        "test_proxy_failures.py::LimitTests::test_connections_are_never",
+        "limits.py",
+        "granted = min(wanted, free)",
+        "granted = wanted + 8",
+    ),
+    _cut(
+        "cancellation when the caller goes",
+        "test_proxy_failures.py::LimitTests::test_caller_that_goes_away",
+        "proxy.py",
+        "                    await watched.task.cancel(blocking=False)",
+        "                    pass",
+    ),
+    _cut(
+        "both lengths are refused",
+        "test_proxy_failures.py::RequestShapeTests::test_ambiguous",
+        "http1.py",
+        "if length is not None and is_chunked:",
+        "if False:",
+    ),
+    _cut(
+        "line folding is refused",
+        "test_proxy_failures.py::RequestShapeTests::test_ambiguous",
+        "http1.py",
+        "if connection.is_head_folded:",
+        "if False:",
+    ),
+    _cut(
+        "connection headers are dropped",
+        "test_proxy_failures.py::RequestShapeTests::test_connection_headers",
+        "http1.py",
+        "dropped = dropped.union(named)",
+        "pass",
+    ),
+    _cut(
+        "datagram code",
+        "test_link.py::HostileBytesTests::test_other_key",
+        "datagrams.py",
+        "if not hmac.compare_digest(mac, _mac(key_bytes, body)):",
+        "if False:",
+    ),
+    _cut(
+        "replay window",
+        "test_link.py::HostileBytesTests::test_each_sequence",
+        "datagrams.py",
+        "is_new = highest - sequence < WINDOW_SEQUENCES and not seen_bits & bit",
+        "is_new = True",
+    ),
+    _cut(
+        "frame code",
+        "test_link.py::LinkTests::test_replayed_and_changed",
+        "link.py",
+        "if not hmac.compare_digest(mac, expected):",
+        "if False:",
+    ),
+    _cut(
+        "sequential test",
+        "test_rollouts.py::RolloutProcessTests::test_failing_version",
+        "rollouts.py",
+        "            if finding is not None:\n                return finding",
+        "            if False:\n                return finding",
+    ),
+    _cut(
+        "notices need no platform",
+        "test_rollouts.py::RolloutProcessTests::test_bad_version_loses",
+        "evaluator.py",
+        "            node.take_notices((notice,))",
+        "            pass",
+    ),
+    _cut(
+        "evaluator follows from the members",
+        "test_rollouts.py::RolloutProcessTests::test_good_version_completes_although",
+        "evaluator.py",
+        "rows = self._node.table.alive_in_domain(failure_domain)",
+        "rows = self._node.table.rows()",
+    ),
+)
+
+
+def _take_out(folder: Path, cut: Cut) -> None:
+    path = folder / "guavagap" / cut.file
+    text = path.read_text("utf-8")
+    if text.count(cut.old) != 1:
+        raise LookupError(f"{cut.file}: {cut.old!r} stands {text.count(cut.old)} times")
+    path.write_text(text.replace(cut.old, cut.new), "utf-8")
+
+
+def _run_without(mechanism: Mechanism) -> bool:
+    """Return whether the test fails without the mechanism."""
+    with tempfile.TemporaryDirectory(prefix="guavagap-mechanism-") as name:
+        folder = Path(name)
+        for item in COPIED:
+            source = Path(item)
+            if source.is_dir():
+                ignore = shutil.ignore_patterns("__pycache__")
+                shutil.copytree(source, folder / item, ignore=ignore)
+            else:
+                shutil.copy(source, folder / item)
+        for cut in mechanism.cuts:
+            _take_out(folder, cut)
+        file, _, case = mechanism.test.partition("::")
+        command = [sys.executable, "-m", "pytest", "-q", "-x", f"tests/{file}"]
+        if case:
+            command += ["-k", " and ".join(case.split("::"))]
+        env = {**os.environ, "PYTHONPATH": name}
+        try:
+            result = subprocess.run(
+                command, cwd=name, env=env, capture_output=True, timeout=TEST_TIMEOUT_S
+            )
+        except subprocess.TimeoutExpired:
+            return True
+        return result.returncode == TEST_FAILED
+
+
+def run(report: Report) -> None:
+    """Take out each mechanism in turn; every test must fail."""
+    wanted = os.environ.get("GUAVAGAP_MECHANISMS", "")
+    chosen = [item for item in MECHANISMS if wanted in item.name]
+    with ThreadPoolExecutor(WORKERS) as pool:
+        results = list(pool.map(_run_without, chosen))
+    for mechanism, is_failing in zip(chosen, results):
+        name = mechanism.name.replace(" ", "_").replace("-", "_")
+        report.add(f"passes_without_{name}", int(not is_failing), "tests", 0)
--- a/guavagap/direct.py
+++ b/guavagap/direct.py
@@ -23,8 +23,8 @@
 
 MAX_WANTED = 8
 IDLE_AFTER_S = 10.0
-RENEWALS_PER_TTL = 3
-RETRY_S = 1.0
+RENEW_SHARE_OF_TTL = 2 / 3
+RETRY_S = 0.5
 
 
 class _PermittedPool:
@@ -150,7 +150,7 @@
             log.info("permits not renewed", owner=node_id, why=str(error))
             await self._close_expired(pools)
             return RETRY_S
-        ttl_s = RETRY_S * RENEWALS_PER_TTL
+        ttl_s = RETRY_S / RENEW_SHARE_OF_TTL
         for grant in reply.grants:
             pool = self._pools.get(grant.server_id)
             if pool is None:
@@ -159,7 +159,7 @@
             pool.granted = grant.granted
             pool.expires_at_s = asked_at_s + ttl_s
         await self._close_expired(pools)
-        return ttl_s / RENEWALS_PER_TTL
+        return ttl_s * RENEW_SHARE_OF_TTL
 
     async def _close_expired(self, pools: list[_PermittedPool]) -> None:
         for pool in pools:
--- a/guavagap/directory.py
+++ b/guavagap/directory.py
@@ -12,6 +12,7 @@
 
 __all__ = ["Directory", "ServerHealth", "Target"]
 
+MIN_REBUILD_INTERVAL_S = 0.05
 SLOW_START_S = 10.0
 SLOW_START_MIN_FACTOR = 0.1
 REPORT_LIFETIME_S = 1.0
@@ -111,6 +112,7 @@
     def __init__(self, table: MemberTable):
         self._table = table
         self._built_version = -1
+        self._built_at_s = float("-inf")
         self._targets: dict[tuple[str, str, str], tuple[Target, ...]] = {}
         self._by_id: dict[str, Target] = {}
         self._health: dict[str, ServerHealth] = {}
@@ -142,8 +144,15 @@
         """Rebuild if the member table has changed."""
         if self._built_version == self._table.version:
             return
-        self._built_version = self._table.version
         now_s = time.monotonic()
+        if now_s - self._built_at_s < MIN_REBUILD_INTERVAL_S:
+            return
+        self._built_at_s = now_s
+        self.rebuild(now_s)
+
+    def rebuild(self, now_s: float) -> None:
+        """Build the targets from the member table as it is now."""
+        self._built_version = self._table.version
         targets: dict[tuple[str, str, str], list[Target]] = {}
         by_id: dict[str, Target] = {}
         for row in self._table.rows():
--- a/guavagap/evidence.py
+++ b/guavagap/evidence.py
@@ -17,7 +17,6 @@
 ]
 
 LATENCY_BOUNDS_MS = (1, 2, 3, 5, 8, 12, 20, 32, 50, 80, 125, 200, 320, 500, 1000, 2500)
-MAX_TICKS = 600
 WINDOW_TICKS = (5, 30)
 COLD_REQUESTS = 30
 MIN_BASELINE_REQUESTS = 20
@@ -56,6 +55,14 @@
     )
 
 
+def subtract_sums(total: EvidenceSum, part: EvidenceSum) -> EvidenceSum:
+    """Return a count without a part of it."""
+    buckets = tuple(a - b for a, b in zip(total.latency_buckets, part.latency_buckets))
+    return EvidenceSum(
+        total.requests - part.requests, total.failures - part.failures, buckets
+    )
+
+
 EMPTY_SUM = EvidenceSum(0, 0, (0,) * BUCKETS)
 
 
@@ -118,8 +125,42 @@
     warm_by_server: dict[str, EvidenceSum]
 
 
+class _Window:
+    """Running sums over the latest ticks.
+
+    Args:
+        ticks: how many ticks to keep; None for all since the last clearing.
+    """
+
+    def __init__(self, ticks: int | None):
+        self.sums: dict[EvidenceKey, EvidenceSum] = {}
+        self._limit = ticks
+        self._ticks: deque[dict[EvidenceKey, EvidenceSum]] = deque()
+
+    def add(self, tick: dict[EvidenceKey, EvidenceSum]) -> None:
+        for key, counts in tick.items():
+            self.sums[key] = merge_sums(self.sums.get(key, EMPTY_SUM), counts)
+        if self._limit is None:
+            return
+        self._ticks.append(tick)
+        if len(self._ticks) > self._limit:
+            self._subtract(self._ticks.popleft())
+
+    def _subtract(self, tick: dict[EvidenceKey, EvidenceSum]) -> None:
+        for key, counts in tick.items():
+            left = subtract_sums(self.sums[key], counts)
+            if left.requests:
+                self.sums[key] = left
+            else:
+                del self.sums[key]
+
+    def clear(self) -> None:
+        self.sums.clear()
+        self._ticks.clear()
+
+
 class EvidenceWindows:
-    """Evidence on one rollout, kept by tick so that recent windows can be read.
+    """Evidence on one rollout over recent windows and over its stage.
 
     Args:
         old_version: the version before.
@@ -129,62 +170,62 @@
     def __init__(self, old_version: str, new_version: str):
         self.old_version = old_version
         self.new_version = new_version
-        self._ticks: deque[dict[EvidenceKey, EvidenceSum]] = deque(maxlen=MAX_TICKS)
-        self._cold: deque[set[EvidenceKey]] = deque(maxlen=MAX_TICKS)
-        self._stage_ticks = 0
+        self._all = [_Window(ticks) for ticks in (*WINDOW_TICKS, None)]
+        self._warm = [_Window(ticks) for ticks in (*WINDOW_TICKS, None)]
         self._requests_of_server: Counter[str] = Counter()
         self._baselines: dict[str, EvidenceSum] = {}
 
     def add_tick(self, rows: tuple[EvidenceRow, ...]) -> None:
         """Add what has arrived since the last tick."""
         tick: dict[EvidenceKey, EvidenceSum] = {}
-        cold: set[EvidenceKey] = set()
         for row in rows:
             key = EvidenceKey(row.service, row.version, row.route, row.server_id)
             counts = EvidenceSum(row.requests, row.failures, row.latency_buckets)
             tick[key] = merge_sums(tick.get(key, EMPTY_SUM), counts)
-            if self._requests_of_server[row.server_id] < COLD_REQUESTS:
-                cold.add(key)
+        warm = {key: counts for key, counts in tick.items() if self._is_warm(key)}
         for key, counts in tick.items():
             self._requests_of_server[key.server_id] += counts.requests
-        self._ticks.append(tick)
-        self._cold.append(cold)
-        self._stage_ticks = min(self._stage_ticks + 1, MAX_TICKS)
+        for window in self._all:
+            window.add(tick)
+        for window in self._warm:
+            window.add(warm)
+
+    def _is_warm(self, key: EvidenceKey) -> bool:
+        return self._requests_of_server[key.server_id] >= COLD_REQUESTS
 
     def start_stage(self) -> None:
-        """Leave earlier evidence out of the window of the stage."""
-        for evidence in self.read(self._stage_ticks):
+        """Leave earlier evidence out; keep how the old version did."""
+        for evidence in self._read(-1):
             if evidence.old.requests >= MIN_BASELINE_REQUESTS:
                 self._baselines[evidence.route] = evidence.old
-        self._stage_ticks = 0
+        for window in (*self._all, *self._warm):
+            window.clear()
 
     def requests_of_stage(self) -> int:
         """Return how many requests the new version has had in this stage."""
         return sum(
             counts.requests
-            for evidence in self.read(self._stage_ticks)
-            for counts in evidence.new_by_server.values()
+            for key, counts in self._all[-1].sums.items()
+            if key.version == self.new_version
         )
 
     def windows(self) -> list[list[RouteEvidence]]:
         """Return the evidence of the recent windows and of the stage."""
-        lengths = {min(length, self._stage_ticks) for length in WINDOW_TICKS}
-        return [self.read(length) for length in sorted(lengths | {self._stage_ticks})]
+        return [self._read(index) for index in range(len(self._all))]
 
-    def read(self, ticks: int) -> list[RouteEvidence]:
-        """Return the evidence of the latest ticks by route."""
+    def _read(self, index: int) -> list[RouteEvidence]:
+        """Return the evidence of one window by route."""
         old: dict[str, EvidenceSum] = {}
         new: dict[str, dict[str, EvidenceSum]] = {}
         warm: dict[str, dict[str, EvidenceSum]] = {}
-        first = len(self._ticks) - ticks
-        for index in range(max(0, first), len(self._ticks)):
-            for key, counts in self._ticks[index].items():
-                if key.version == self.old_version:
-                    _add(old, key.route, counts)
-                elif key.version == self.new_version:
-                    _add(new.setdefault(key.route, {}), key.server_id, counts)
-                    if key not in self._cold[index]:
-                        _add(warm.setdefault(key.route, {}), key.server_id, counts)
+        for key, counts in self._all[index].sums.items():
+            if key.version == self.old_version:
+                old[key.route] = merge_sums(old.get(key.route, EMPTY_SUM), counts)
+            else:
+                new.setdefault(key.route, {})[key.server_id] = counts
+        for key, counts in self._warm[index].sums.items():
+            if key.version == self.new_version:
+                warm.setdefault(key.route, {})[key.server_id] = counts
         return [
             RouteEvidence(
                 route,
@@ -200,7 +241,3 @@
         if old.requests >= MIN_BASELINE_REQUESTS:
             return old
         return merge_sums(old, self._baselines.get(route, EMPTY_SUM))
-
-
-def _add(sums: dict[str, EvidenceSum], name: str, counts: EvidenceSum) -> None:
-    sums[name] = merge_sums(sums.get(name, EMPTY_SUM), counts)
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -109,6 +109,7 @@
         self.directory = Directory(self.table)
         self.router = Router(
             self.directory,
+            settings.node_id,
             settings.region,
             settings.failure_domain,
             self.notices.is_rolled_back,
--- a/guavagap/relay.py
+++ b/guavagap/relay.py
@@ -38,6 +38,7 @@
 CANDIDATES = 3
 HEAD_WAIT_S = 20.0
 RENEWALS_PER_TTL = 3
+CONTEND_SHARE_OF_TTL = 0.5
 RANK_DELAY_SHARE_OF_TTL = 0.05
 BACKOFF_FIRST_S = 0.2
 BACKOFF_LIMIT_S = 5.0
@@ -150,8 +151,8 @@
         if value is not None and value.body == self._lease_body():
             return await self._renew(_HeldLease(value.revision, 0))
         if value is not None:
-            await self._platform.watch(key, value.revision, self._lease_ttl_s)
-            await curio.sleep(rank * RANK_DELAY_SHARE_OF_TTL * self._lease_ttl_s)
+            share = CONTEND_SHARE_OF_TTL + rank * RANK_DELAY_SHARE_OF_TTL
+            await curio.sleep(share * self._lease_ttl_s)
             return None
         return await self._renew(_HeldLease(ABSENT, 0))
 
--- a/guavagap/routing.py
+++ b/guavagap/routing.py
@@ -10,11 +10,14 @@
 import time
 
 from guavagap.directory import Directory, Target
+from guavagap.rendezvous import rendezvous_order
 from guavagap.snapshot import CompiledRoute, ServiceState
 
 __all__ = ["Router", "saturation"]
 
 FULL_WEIGHT_PERMILLE = 1000
+SUBSET = 2
+MAX_ORDERS = 2000
 
 
 def saturation(target: Target, max_in_flight: int | None, now_s: float) -> float:
@@ -31,18 +34,26 @@
 
     Args:
         directory: targets by service, pool and version.
+        own_id: this node.
         own_region: region of this node.
         own_domain: failure domain of this node.
         is_rolled_back: function of service and version.
     """
 
     def __init__(
-        self, directory: Directory, own_region: str, own_domain: str, is_rolled_back
+        self,
+        directory: Directory,
+        own_id: str,
+        own_region: str,
+        own_domain: str,
+        is_rolled_back,
     ):
         self._directory = directory
         self._own_region = own_region
         self._own_domain = own_domain
         self._is_rolled_back = is_rolled_back
+        self._own_id = own_id
+        self._orders: dict[tuple[str, ...], list[int]] = {}
         self._spread: dict[str, int] = {}
 
     def choose_version(self, route: CompiledRoute, sticky_value: bytes | None) -> str:
@@ -118,35 +129,52 @@
     def _choose_among(
         self, route: CompiledRoute, targets: tuple[Target, ...]
     ) -> Target:
+        if len(targets) == 1:
+            return targets[0]
         now_s = time.monotonic()
         healthy = [
             item
-            for item in targets
+            for item in self._in_order(targets)
             if item.health.ejected_until_s <= now_s and not item.is_suspect
         ]
         if len(healthy) < len(targets) * route.pool.min_available_share:
             healthy = list(targets)
         limit = route.pool.max_in_flight
-        near = self._nearest_unsaturated(healthy or list(targets), limit, now_s)
+        near = self._nearest_unsaturated(healthy, limit, now_s)
         if len(near) == 1:
             return near[0]
         first, second = random.sample(near, 2)
         first_load = saturation(first, limit, now_s)
         return first if first_load <= saturation(second, limit, now_s) else second
 
+    def _in_order(self, targets: tuple[Target, ...]) -> list[Target]:
+        """Return targets in this node's own order of preference.
+
+        Different nodes prefer different targets, which spreads them evenly while
+        each node needs direct connections to a few only.
+        """
+        key = tuple(item.server.server_id for item in targets)
+        order = self._orders.get(key)
+        if order is None:
+            if len(self._orders) >= MAX_ORDERS:
+                self._orders.clear()
+            ranked = rendezvous_order(
+                self._own_id, range(len(key)), lambda index: key[index]
+            )
+            order = self._orders[key] = ranked
+        return [targets[index] for index in order]
+
     def _nearest_unsaturated(
         self, targets: list[Target], limit: int | None, now_s: float
     ) -> list[Target]:
-        """Return the targets of the nearest place that has room."""
-        if len(targets) == 1:
-            return targets
+        """Return a few preferred targets of the nearest place that has room."""
         own_domain, own_region = self._own_domain, self._own_region
         free = [item for item in targets if saturation(item, limit, now_s) < 1.0]
         in_domain = [item for item in free if item.failure_domain == own_domain]
         if in_domain:
-            return in_domain
+            return in_domain[:SUBSET]
         in_region = [item for item in free if item.region == own_region]
-        return in_region or free or targets
+        return (in_region or free)[:SUBSET] or targets
 
 
 def _sticky_position(state: ServiceState, sticky_value: bytes) -> int:
--- /dev/null
+++ b/tests/test_rollouts.py
@@ -0,0 +1,303 @@
+"""Tests of the rollout policy, and of rollouts on real processes."""
+
+import random
+import threading
+import time
+from pathlib import Path
+
+import testtools
+from hypothesis import given, settings, strategies
+
+from guavagap.evidence import LATENCY_BOUNDS_MS, EvidenceRow, EvidenceWindows
+from guavagap.rollouts import SEQUENTIAL_POLICY, decide, find_fault
+from standins.demo import write_catalogue
+from standins.fleet import wait_until
+from tests.cases import FleetTestCase
+from tests.test_mesh_failures import FAST, FOUR
+
+BUCKETS = len(LATENCY_BOUNDS_MS) + 1
+ZERO_TRAFFIC_S = 3.0
+
+
+def make_row(version, requests, failures=0, server="s", bucket=2, route="r"):
+    """Return a row whose requests all fall in one latency bucket."""
+    buckets = tuple(requests if n == bucket else 0 for n in range(BUCKETS))
+    return EvidenceRow("cart", version, route, server, requests, failures, buckets)
+
+
+def make_rollout(weight=10, state="running", started_s=0.0, complete_by_s=100.0):
+    """Return a rollout that started at 0."""
+    return {
+        "from_version": "v1",
+        "to_version": "v2",
+        "state": state,
+        "weight_permille": weight,
+        "started_at_s": 0.0,
+        "stage_started_at_s": started_s,
+        "complete_by_s": complete_by_s,
+        "reason": "",
+    }
+
+
+class FindFaultTests(testtools.TestCase):
+    def find(self, *ticks):
+        windows = EvidenceWindows("v1", "v2")
+        for rows in ticks:
+            windows.add_tick(tuple(rows))
+        return find_fault(SEQUENTIAL_POLICY, windows.windows())
+
+    def test_failing_version_is_found(self):
+        finding = self.find([make_row("v1", 500, 1), make_row("v2", 10, 6)])
+        self.assertIn("6 of 10", finding.reason)
+
+    def test_failing_on_one_route_only_is_found(self):
+        rows = [make_row("v1", 500, 1, route=r) for r in ("a", "b")]
+        rows += [make_row("v2", 300, 0, route="a"), make_row("v2", 10, 6, route="b")]
+        self.assertEqual("b", self.find(rows).route)
+
+    def test_trouble_of_both_versions_is_not_blamed_on_the_new_one(self):
+        self.assertIsNone(self.find([make_row("v1", 500, 250), make_row("v2", 20, 11)]))
+
+    def test_slow_version_is_found_after_its_cold_requests(self):
+        fast = make_row("v1", 500)
+        cold = self.find([fast, make_row("v2", 25, bucket=9)])
+        self.assertIsNone(cold)
+        ticks = [[fast, make_row("v2", 25, bucket=9)] for _ in range(4)]
+        self.assertIn("slow", self.find(*ticks).reason)
+
+    def test_one_bad_server_of_four_is_not_a_bad_version(self):
+        rows = [make_row("v1", 2000, 2)]
+        rows += [make_row("v2", 50, 0, server=f"s{n}") for n in range(3)]
+        rows.append(make_row("v2", 50, 40, server="s3"))
+        self.assertIsNone(self.find(rows))
+
+    def test_version_that_turns_bad_late_is_found_in_a_recent_window(self):
+        good = [make_row("v1", 100), make_row("v2", 100)]
+        bad = [make_row("v1", 100), make_row("v2", 20, 14)]
+        self.assertIsNone(self.find(*[good] * 100))
+        self.assertIsNotNone(self.find(*[good] * 100, bad, bad))
+
+    @settings(deadline=None, max_examples=40)
+    @given(strategies.integers(0, 10_000))
+    def test_equal_versions_are_not_blamed(self, seed):
+        chance = random.Random(seed)
+        share = chance.choice((0.0, 0.01, 0.1, 0.5))
+        windows = EvidenceWindows("v1", "v2")
+        for _ in range(60):
+            rows = []
+            for version, requests in (("v1", 95), ("v2", 5)):
+                failures = sum(chance.random() < share for _ in range(requests))
+                rows.append(make_row(version, requests, failures))
+            windows.add_tick(tuple(rows))
+            self.assertIsNone(find_fault(SEQUENTIAL_POLICY, windows.windows()))
+
+
+class DecideTests(testtools.TestCase):
+    def decide(self, rollout, now_s, requests=5, capacity=1000, windows=()):
+        return decide(
+            SEQUENTIAL_POLICY, rollout, list(windows), requests, capacity, now_s
+        )
+
+    def test_stages_are_taken_in_order_and_finish_in_time(self):
+        rollout = make_rollout(weight=0)
+        weights, now_s = [], 0.0
+        while now_s < 100:
+            decision = self.decide(rollout, now_s)
+            if decision.is_complete:
+                break
+            if decision.weight_permille != rollout["weight_permille"]:
+                weights.append(decision.weight_permille)
+                rollout = rollout | {
+                    "weight_permille": decision.weight_permille,
+                    "stage_started_at_s": now_s,
+                }
+            now_s += 1.0
+        self.assertEqual([10, 50, 200, 500, 1000], weights)
+        self.assertTrue(decision.is_complete)
+
+    def test_missed_stages_are_caught_up_without_skipping_one(self):
+        rollout = make_rollout(weight=10, started_s=0.0)
+        decision = self.decide(rollout, 99.0)
+        self.assertEqual(50, decision.weight_permille)
+        late = rollout | {"weight_permille": 50, "stage_started_at_s": 99.0}
+        self.assertEqual(50, self.decide(late, 99.5).weight_permille)
+        self.assertEqual(200, self.decide(late, 102.0).weight_permille)
+
+    def test_thin_evidence_goes_on_and_says_so(self):
+        decision = self.decide(make_rollout(), 50.0, requests=0)
+        self.assertEqual(50, decision.weight_permille)
+        self.assertIn("thin", decision.reason)
+
+    def test_weight_waits_for_slots(self):
+        decision = self.decide(make_rollout(weight=200), 99.0, capacity=300)
+        self.assertEqual(200, decision.weight_permille)
+        self.assertIn("slots", decision.reason)
+
+    def test_paused_rollout_stays_but_is_still_judged(self):
+        paused = make_rollout(weight=50, state="paused")
+        self.assertEqual(50, self.decide(paused, 99.0).weight_permille)
+        windows = EvidenceWindows("v1", "v2")
+        windows.add_tick((make_row("v1", 500), make_row("v2", 10, 9)))
+        decision = self.decide(paused, 99.0, windows=windows.windows())
+        self.assertIsNotNone(decision.finding)
+
+
+class RolloutProcessTests(FleetTestCase):
+    """A mesh with old and new backend servers, under constant calls."""
+
+    def start(self, **new_server_options: str):
+        fleet = self.open_fleet(**FAST, allow_fault_injection="")
+        self.start_mesh(fleet, FOUR)
+        for index, node_id in enumerate(FOUR):
+            fleet.start_server(f"old{index}", node_id, version="v1")
+            fleet.start_server(
+                f"new{index}", node_id, version="v2", **new_server_options
+            )
+        fleet.wait_targets("catalogue", 8)
+        self.start_callers(fleet)
+        return fleet
+
+    def start_callers(self, fleet):
+        self.answers: list[tuple[float, str, int]] = []
+        stop = threading.Event()
+
+        def call(node_id: str) -> None:
+            while not stop.is_set():
+                if fleet.nodes[node_id].process.poll() is None:
+                    self.call_once(fleet, node_id)
+                time.sleep(0.02)
+
+        threads = [threading.Thread(target=call, args=(n,)) for n in FOUR]
+        for thread in threads:
+            thread.start()
+
+        def end():
+            stop.set()
+            for thread in threads:
+                thread.join()
+
+        self.addCleanup(end)
+        wait_until(lambda: len(self.answers) > 100, what="answers")
+
+    def call_once(self, fleet, node_id: str) -> None:
+        try:
+            reply = fleet.call(node_id, "/catalogue/x")
+        except OSError:
+            return
+        version = reply.headers.get("x-version", "")
+        self.answers.append((time.monotonic(), version, reply.status))
+
+    def edit(self, fleet, number=1, version="v2", complete_in_s=20.0):
+        file = Path(fleet.folder) / "catalogue.toml"
+        write_catalogue(file, number, version, complete_in_s)
+        result = fleet.cli("apply", str(file))
+        self.assertEqual(0, result.returncode, result.stderr)
+
+    def wait_weight(self, fleet, weight: int):
+        def reached():
+            rollout = fleet.status("a1")["services"]["catalogue"]["rollout"]
+            return rollout is not None and rollout["weight_permille"] >= weight
+
+        wait_until(reached, 60, f"weight {weight}")
+
+    def verdict(self, fleet) -> int:
+        return fleet.cli(
+            "status", "catalogue", "--wait", "--timeout-s", "60"
+        ).returncode
+
+    def wait_notice(self, fleet, *node_ids: str):
+        wait_until(
+            lambda: all(fleet.status(n)["notices"] for n in node_ids or FOUR),
+            60,
+            "notice everywhere",
+        )
+
+    def assert_no_new_traffic(self):
+        """Check that the bad version's traffic is zero within seconds."""
+        time.sleep(ZERO_TRAFFIC_S)
+        since_s = time.monotonic()
+        time.sleep(1.0)
+        late = [a for a in self.answers if a[0] > since_s and a[1] == "v2"]
+        self.assertEqual([], late)
+
+    def evaluator(self, fleet) -> str:
+        """Return the node that wrote the latest decision."""
+        lines = fleet.cli("log", "catalogue").stdout.splitlines()
+        return next(line.split("\t")[3] for line in lines if "\trollout\t" in line)
+
+    def test_failing_version_is_rolled_back_and_final(self):
+        fleet = self.start(failing_share="0.6")
+        self.edit(fleet)
+        self.assertEqual(1, self.verdict(fleet))
+        self.assert_no_new_traffic()
+        self.assertNotIn("at 20 %", fleet.cli("log", "catalogue").stdout)
+        file = Path(fleet.folder) / "catalogue.toml"
+        write_catalogue(file, 2, "v2", 30.0)
+        result = fleet.cli("apply", str(file))
+        self.assertEqual(1, result.returncode)
+        self.assertIn("final", result.stderr)
+
+    def test_slow_version_is_rolled_back(self):
+        fleet = self.start(delay_ms="60")
+        self.edit(fleet)
+        self.assertEqual(1, self.verdict(fleet))
+        self.assert_no_new_traffic()
+
+    def test_bad_version_loses_its_traffic_while_the_platform_is_down(self):
+        fleet = self.start(failing_share="0.6")
+        self.edit(fleet, complete_in_s=60.0)
+        self.wait_weight(fleet, 10)
+        fleet.set_platform(is_down=True)
+        self.wait_notice(fleet)
+        self.assert_no_new_traffic()
+        fleet.set_platform(is_down=False)
+        self.assertEqual(1, self.verdict(fleet))
+
+    def test_each_cut_off_domain_takes_the_traffic_back_on_its_own(self):
+        fleet = self.start(failing_share="0.6")
+        self.edit(fleet, complete_in_s=25.0)
+        self.wait_weight(fleet, 10)
+        for node_id in FOUR:
+            others = [n for n in FOUR if FOUR[n] != FOUR[node_id]]
+            fleet.block(node_id, others, platform=True)
+        self.wait_notice(fleet)
+        self.assert_no_new_traffic()
+
+    def test_good_version_completes_although_its_evaluator_dies_twice(self):
+        fleet = self.start()
+        self.edit(fleet, complete_in_s=30.0)
+        for weight in (10, 200):
+            self.wait_weight(fleet, weight)
+            name = self.evaluator(fleet)
+            fleet.kill(fleet.nodes[name].process)
+            fleet.start_node(name, FOUR[name], peers=tuple(set(FOUR) - {name}))
+            fleet.wait_ready(name)
+        self.assertEqual(0, self.verdict(fleet))
+        trail = fleet.cli("log", "catalogue").stdout
+        for percent in ("1 %", "5 %", "20 %", "50 %", "100 %"):
+            self.assertIn(f"at {percent}", trail)
+
+    def test_good_version_completes_through_an_outage(self):
+        fleet = self.start()
+        self.edit(fleet, complete_in_s=30.0)
+        self.wait_weight(fleet, 10)
+        fleet.set_platform(is_down=True)
+        time.sleep(8)
+        fleet.set_platform(is_down=False)
+        self.assertEqual(0, self.verdict(fleet))
+
+    def test_document_raced_during_a_rollout_pauses_it(self):
+        fleet = self.start()
+        self.edit(fleet)
+        self.wait_weight(fleet, 50)
+        file = Path(fleet.folder) / "catalogue.toml"
+        write_catalogue(file, 2, "v2", 20.0)
+        text = file.read_text().replace("[wanted]", '[wanted]\nstate = "pause"')
+        file.write_text(text)
+        result = fleet.cli("apply", str(file))
+        self.assertEqual(0, result.returncode, result.stderr)
+        time.sleep(6)
+        result = fleet.cli("status", "catalogue")
+        self.assertIn("paused", result.stdout)
+        self.edit(fleet, number=3, complete_in_s=15.0)
+        self.assertEqual(0, self.verdict(fleet))
