--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 
 from bench.report import Report
 
-NAMES = ("capacity", "control", "latency", "mechanisms")
+NAMES = ("capacity", "control", "latency", "mechanisms", "rollout_policy")
 
 
 def main() -> None:
--- a/guavagap/http1.py
+++ b/guavagap/http1.py
@@ -18,6 +18,7 @@
     "MAX_HEADER_BYTES",
     "RECEIVE_BYTES",
     "RequestHead",
+    "bind_socket",
     "connect_http1",
     "end_to_end_headers",
     "header_value",
@@ -193,15 +194,35 @@
 
 
 def open_listener(address: Address):
-    """Return a listening TCP socket."""
+    """Return a listening TCP socket.
+
+    Raises:
+        GuavagapError: SETTING_INVALID when the address cannot be had.
+    """
     family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(address)
+    bind_socket(sock, address)
     sock.listen(LISTEN_BACKLOG)
     return sock
 
 
+def bind_socket(sock, address: Address) -> None:
+    """Bind a socket.
+
+    Raises:
+        GuavagapError: SETTING_INVALID when the address cannot be had.
+    """
+    try:
+        sock.bind(address)
+    except OSError as error:
+        raise GuavagapError(
+            ErrorKind.SETTING_INVALID,
+            f"address {address.ip}:{address.port}: {error.strerror}; allowed is a"
+            " free port on an address of this VM",
+        ) from None
+
+
 def validated_headers(headers: Headers) -> ParsedHeaders:
     """Return headers in the form that h11 takes without validating them again.
 
--- a/guavagap/membership.py
+++ b/guavagap/membership.py
@@ -19,6 +19,7 @@
 from guavagap.datagrams import ReplayWindow, open_datagram, seal
 from guavagap.errors import GuavagapError
 from guavagap.faults import BlockedAddresses
+from guavagap.http1 import bind_socket
 from guavagap.logs import get_logger
 from guavagap.members import MemberTable
 from guavagap.messages import Datagram, DatagramKind, Member, MemberState, PoisonMark
@@ -88,19 +89,14 @@
         self._last_contact_s: dict[str, float] = {}
         self._sock = None
 
-    async def run(self, scope: TaskScope) -> None:
-        """Listen and probe until cancelled."""
+    def listen(self) -> None:
+        """Open the socket; raises SETTING_INVALID when the address is taken."""
         family = socket.AF_INET6 if ":" in self._address.ip else socket.AF_INET
         self._sock = socket.socket(family, socket.SOCK_DGRAM)
-        self._sock.bind(self._address)
-        async with self._sock:
-            prober = await scope.spawn_role(self._probe_forever)
-            try:
-                await self._receive_forever(scope)
-            finally:
-                await prober.cancel(blocking=False)
-
-    async def _receive_forever(self, scope: TaskScope) -> None:
+        bind_socket(self._sock, self._address)
+
+    async def receive_forever(self, scope: TaskScope) -> None:
+        """Take datagrams until cancelled."""
         while True:
             packet, sender = await self._sock.recvfrom(RECEIVE_BYTES)
             self.counts["received_bytes"] += len(packet)
@@ -226,7 +222,8 @@
         for member in random.sample(members, min(count, len(members))):
             await self.send(parse_address(member.mesh_address), DatagramKind.GOSSIP, 0)
 
-    async def _probe_forever(self) -> None:
+    async def probe_forever(self) -> None:
+        """Probe a member in each interval until cancelled."""
         while True:
             started_s = time.monotonic()
             await self._probe_once(started_s)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import shlex
 import signal
 import socket
@@ -18,6 +19,8 @@
 __all__ = ["Fleet", "FleetNode", "FleetServer", "HttpReply", "open_fleet", "wait_until"]
 
 MESH_KEY = "an-example-mesh-key-of-enough-bytes"
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 32_000
 START_TIMEOUT_S = 20.0
 MEMBERS_TIMEOUT_S = 120.0
 STOP_TIMEOUT_S = 30.0
@@ -69,18 +72,31 @@
     process: subprocess.Popen
 
 
+_ports_taken: set[int] = set()
+
+
+def _is_port_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
 def free_ports(count: int) -> list[int]:
-    """Return TCP ports that are free now, for UDP as well."""
-    sockets = []
-    try:
-        while len(sockets) < count:
-            tcp = socket.socket()
-            tcp.bind(("127.0.0.1", 0))
-            sockets.append(tcp)
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return ports that are free for TCP and UDP, each only once.
+
+    They lie below the range that the system takes for outgoing connections.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randint(LOWEST_PORT, HIGHEST_PORT)
+        if port not in _ports_taken and _is_port_free(port):
+            _ports_taken.add(port)
+            ports.append(port)
+    return ports
 
 
 def wait_until(condition, timeout_s: float = START_TIMEOUT_S, what: str = "condition"):
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -2,9 +2,11 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 
+from standins.fleet import free_ports
 from tests.cases import FleetTestCase
 
 
@@ -92,6 +94,22 @@
         self.assert_refused(result, "GUAVAGAP_MESH_KEY", "16")
         self.assertNotIn("sesame", result.stderr)
 
+    def test_taken_address_is_refused(self):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+            taken.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            ports = [f"127.0.0.1:{port}" for port in free_ports(3)]
+            result = self.run_daemon(
+                *self.valid(
+                    caller_address=ports[0],
+                    link_address=ports[1],
+                    admin_address=ports[2],
+                    mesh_address=address,
+                )
+            )
+        self.assertEqual(2, result.returncode)
+        self.assertIn(address, result.stderr.splitlines()[-1])
+
     def test_missing_setting_is_refused(self):
         self.assert_refused(self.run_daemon("--node-id", "a"), "--region")
 
