Split the proxy and share what opens sockets

Cause: proxy.py had grown to 500 lines with four jobs, and connecting a TCP socket stood twice, in http1 and link.

Change: caller_watch ends idle and abandoned connections, caller_errors sends our own answers, tcp opens sockets.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,14 @@
 
 from bench.report import Report
 
-NAMES = ("capacity", "control", "latency", "mechanisms", "rollout_policy")
+NAMES = (
+    "calls",
+    "capacity",
+    "control",
+    "latency",
+    "mechanisms",
+    "rollout_policy",
+)
 
 
 def main() -> None:
--- a/bench/load.py
+++ b/bench/load.py
@@ -5,7 +5,14 @@
 import time
 from typing import NamedTuple
 
-__all__ = ["BlockingClient", "LoadResult", "run_paced", "run_saturated"]
+__all__ = [
+    "BlockingClient",
+    "LoadResult",
+    "make_request",
+    "run_open",
+    "run_paced",
+    "run_saturated",
+]
 
 RECEIVE_BYTES = 65_536
 
@@ -106,6 +113,40 @@
     result.statuses[status] = result.statuses.get(status, 0) + 1
 
 
+def run_open(
+    clients: list[BlockingClient], calls_per_s: float, duration_s: float
+) -> LoadResult:
+    """Call at a fixed rate in all, each client in its own thread and in turn."""
+    started_s = time.perf_counter()
+    results = [LoadResult([], {}, 0.0) for _ in clients]
+
+    def work(index: int) -> None:
+        number = index
+        while number / calls_per_s < duration_s:
+            due_s = started_s + number / calls_per_s
+            time.sleep(max(0.0, due_s - time.perf_counter()))
+            _time_call(clients[index], results[index])
+            number += len(clients)
+
+    threads = [
+        threading.Thread(target=work, args=(index,)) for index in range(len(clients))
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return _merge(results, time.perf_counter() - started_s)
+
+
+def _merge(results: list[LoadResult], duration_s: float) -> LoadResult:
+    statuses: dict[int, int] = {}
+    for result in results:
+        for status, count in result.statuses.items():
+            statuses[status] = statuses.get(status, 0) + count
+    latencies_s = [value for result in results for value in result.latencies_s]
+    return LoadResult(latencies_s, statuses, duration_s)
+
+
 def run_saturated(clients: list[BlockingClient], duration_s: float) -> LoadResult:
     """Call every client in its own thread, one call after the other."""
     stop_s = time.perf_counter() + duration_s
@@ -123,9 +164,4 @@
         thread.start()
     for thread in threads:
         thread.join()
-    statuses: dict[int, int] = {}
-    for result in results:
-        for status, count in result.statuses.items():
-            statuses[status] = statuses.get(status, 0) + count
-    latencies_s = [value for result in results for value in result.latencies_s]
-    return LoadResult(latencies_s, statuses, time.perf_counter() - started_s)
+    return _merge(results, time.perf_counter() - started_s)
--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -228,9 +228,9 @@
     _cut(
         "cancellation when the caller goes",
         "test_proxy_failures.py::LimitTests::test_caller_that_goes_away",
-        "proxy.py",
-        "                    await watched.task.cancel(blocking=False)",
-        "                    pass",
+        "caller_watch.py",
+        "        await watched.task.cancel(blocking=False)",
+        "        pass",
     ),
     _cut(
         "both lengths are refused",
--- /dev/null
+++ b/guavagap/caller_errors.py
@@ -0,0 +1,60 @@
+"""Answers of our own to callers: one error kind, said plainly."""
+
+import curio
+import h11
+
+from guavagap.errors import GuavagapError, answer_for
+from guavagap.exchange import RUN_HEADER, RUN_NOT_RUN, RUN_UNKNOWN
+from guavagap.http1 import Http1Connection
+
+__all__ = ["linger", "send_error"]
+
+LINGER_S = 1.0
+LINGER_BYTES = 262_144
+SHUT_WRITE = 1
+
+
+async def send_error(
+    connection: Http1Connection,
+    error: GuavagapError,
+    request_id: bytes,
+    is_closing: bool,
+) -> None:
+    """Send the answer of an error, if none has been started.
+
+    Args:
+        connection: the caller's connection.
+        error: decides status and whether the request is said not to have run.
+        request_id: repeated to the caller.
+        is_closing: whether to announce the end of the connection.
+    """
+    if connection.h11.our_state not in (h11.SEND_RESPONSE, h11.IDLE):
+        return
+    answer = answer_for(error.kind)
+    body = f"{error.kind.value}: {error.detail}\n".encode()
+    headers = [
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (b"content-length", b"%d" % len(body)),
+        (RUN_HEADER, RUN_NOT_RUN if answer.is_not_run else RUN_UNKNOWN),
+        (b"guavagap-error", error.kind.value.encode()),
+        (b"x-request-id", request_id),
+    ]
+    if is_closing:
+        headers.append((b"connection", b"close"))
+    response = h11.Response(status_code=answer.status, headers=headers)
+    await connection.send(response, h11.Data(data=body), h11.EndOfMessage())
+
+
+async def linger(connection: Http1Connection) -> None:
+    """Let the caller read the answer although its request was not read."""
+    received_bytes = 0
+    try:
+        async with curio.ignore_after(LINGER_S):
+            await connection.sock.shutdown(SHUT_WRITE)
+            while received_bytes < LINGER_BYTES:
+                data = await connection.sock.recv(LINGER_BYTES)
+                if not data:
+                    return
+                received_bytes += len(data)
+    except OSError:
+        pass
--- /dev/null
+++ b/guavagap/caller_watch.py
@@ -0,0 +1,72 @@
+"""One watcher over all callers' connections, in place of a timeout for each.
+
+It ends connections that are idle for long, and those whose caller has gone while
+its request runs, which cancels the request all the way down.
+"""
+
+import time
+from collections import Counter
+
+import curio
+
+from guavagap.errors import ErrorKind
+from guavagap.http1 import Http1Connection
+
+__all__ = ["ConnectionWatch", "WatchedConnection"]
+
+WATCH_INTERVAL_S = 0.1
+
+
+class WatchedConnection:
+    """A caller's connection and since when it is in its present phase.
+
+    Args:
+        connection: the connection.
+        task: the task that serves it.
+    """
+
+    __slots__ = ("connection", "task", "is_answering", "since_s")
+
+    def __init__(self, connection: Http1Connection, task: curio.Task):
+        self.connection = connection
+        self.task = task
+        self.start(is_answering=False)
+
+    def start(self, is_answering: bool) -> None:
+        """Enter a phase."""
+        self.is_answering = is_answering
+        self.since_s = time.monotonic()
+
+
+class ConnectionWatch:
+    """The connections of one proxy.
+
+    Args:
+        idle_timeout_s: how long a connection may wait for a request.
+        counts: counts of the proxy by kind of error.
+    """
+
+    def __init__(self, idle_timeout_s: float, counts: Counter):
+        self.connections: set[WatchedConnection] = set()
+        self._idle_timeout_s = idle_timeout_s
+        self._counts = counts
+
+    async def run(self) -> None:
+        """Look at every connection in each interval, until cancelled."""
+        while True:
+            await curio.sleep(WATCH_INTERVAL_S)
+            now_s = time.monotonic()
+            for watched in list(self.connections):
+                if self._is_over(watched, now_s):
+                    await self._end(watched)
+
+    def _is_over(self, watched: WatchedConnection, now_s: float) -> bool:
+        age_s = now_s - watched.since_s
+        if watched.is_answering:
+            return age_s > WATCH_INTERVAL_S and watched.connection.is_closed_by_peer()
+        return age_s > self._idle_timeout_s and watched.connection.is_silent()
+
+    async def _end(self, watched: WatchedConnection) -> None:
+        if watched.is_answering:
+            self._counts[ErrorKind.CALLER_GONE.value] += 1
+        await watched.task.cancel(blocking=False)
--- a/guavagap/daemon.py
+++ b/guavagap/daemon.py
@@ -10,12 +10,12 @@
 from guavagap import __version__
 from guavagap.admin import AdminPort
 from guavagap.errors import EXIT_DONE, EXIT_USAGE, GuavagapError
-from guavagap.http1 import open_listener
 from guavagap.http_messages import accept_connections, serve_http
 from guavagap.logs import configure_logs, get_logger
 from guavagap.node import Node, open_node
 from guavagap.settings import Settings, daemon_options, settings_from_options
 from guavagap.shutdown import open_shutdown_signal
+from guavagap.tcp import open_listener
 
 __all__ = ["main", "run", "run_daemon"]
 
@@ -71,7 +71,7 @@
     await scope.spawn_role(accept_connections, admin_listener, scope, serve_admin)
     await scope.spawn_role(node.relay.run, scope)
     await scope.spawn_role(node.run_housekeeping)
-    await scope.spawn_role(node.proxy.run_watch)
+    await scope.spawn_role(node.proxy.watch.run)
     await scope.spawn_role(node.evaluator.run)
     await scope.spawn(node.learn)
     return await scope.spawn_role(
--- a/guavagap/http1.py
+++ b/guavagap/http1.py
@@ -4,13 +4,12 @@
 import socket as stdlib_socket
 from typing import NamedTuple
 
-import curio
 import h11
-from curio import socket
 from h11._headers import Headers as ParsedHeaders
 
 from guavagap.addresses import Address
 from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.tcp import connect_tcp
 
 __all__ = [
     "HOP_BY_HOP_HEADERS",
@@ -18,18 +17,15 @@
     "MAX_HEADER_BYTES",
     "RECEIVE_BYTES",
     "RequestHead",
-    "bind_socket",
     "connect_http1",
     "end_to_end_headers",
     "header_value",
-    "open_listener",
     "read_request_head",
     "validated_headers",
 ]
 
 RECEIVE_BYTES = 65_536
 MAX_HEADER_BYTES = 32_768
-LISTEN_BACKLOG = 1024
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -176,53 +172,10 @@
     Raises:
         GuavagapError: CONNECT_FAILED; no byte of a request was written.
     """
-    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    try:
-        async with curio.timeout_after(timeout_s):
-            await sock.connect(address)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    except (OSError, curio.TaskTimeout) as error:
-        await sock.close()
-        raise GuavagapError(
-            ErrorKind.CONNECT_FAILED, f"{address.ip}:{address.port}: {error!r}"
-        ) from None
-    except curio.CancelledError:
-        await sock.close()
-        raise
+    sock = await connect_tcp(address, timeout_s, ErrorKind.CONNECT_FAILED)
     return Http1Connection(sock, h11.CLIENT)
 
 
-def open_listener(address: Address):
-    """Return a listening TCP socket.
-
-    Raises:
-        GuavagapError: SETTING_INVALID when the address cannot be had.
-    """
-    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bind_socket(sock, address)
-    sock.listen(LISTEN_BACKLOG)
-    return sock
-
-
-def bind_socket(sock, address: Address) -> None:
-    """Bind a socket.
-
-    Raises:
-        GuavagapError: SETTING_INVALID when the address cannot be had.
-    """
-    try:
-        sock.bind(address)
-    except OSError as error:
-        raise GuavagapError(
-            ErrorKind.SETTING_INVALID,
-            f"address {address.ip}:{address.port}: {error.strerror}; allowed is a"
-            " free port on an address of this VM",
-        ) from None
-
-
 def validated_headers(headers: Headers) -> ParsedHeaders:
     """Return headers in the form that h11 takes without validating them again.
 
--- a/guavagap/link.py
+++ b/guavagap/link.py
@@ -29,6 +29,7 @@
     StreamReset,
 )
 from guavagap.streams import Stream
+from guavagap.tcp import connect_tcp
 
 __all__ = ["Link", "LinkIdentity", "TrafficCounts", "accept_link", "dial_link"]
 
@@ -330,19 +331,6 @@
     Raises:
         GuavagapError: LINK_UNREACHABLE, AUTHENTICATION_FAILED.
     """
-    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    try:
-        async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
-            await sock.connect(address)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    except (OSError, curio.TaskTimeout) as error:
-        await sock.close()
-        raise GuavagapError(
-            ErrorKind.LINK_UNREACHABLE, f"{address.ip}:{address.port}: {error!r}"
-        ) from None
-    except curio.CancelledError:
-        await sock.close()
-        raise
+    sock = await connect_tcp(address, HANDSHAKE_TIMEOUT_S, ErrorKind.LINK_UNREACHABLE)
     async with _open_link(sock, identity, counts, is_dialer=True) as link:
         yield link
--- a/guavagap/membership.py
+++ b/guavagap/membership.py
@@ -13,17 +13,16 @@
 from typing import Callable
 
 import curio
-from curio import socket
 
 from guavagap.addresses import Address, format_address, parse_address
 from guavagap.datagrams import ReplayWindow, open_datagram, seal
 from guavagap.errors import GuavagapError
 from guavagap.faults import BlockedAddresses
-from guavagap.http1 import bind_socket
 from guavagap.logs import get_logger
 from guavagap.members import MemberTable
 from guavagap.messages import Datagram, DatagramKind, Member, MemberState, PoisonMark
 from guavagap.tasks import TaskScope
+from guavagap.tcp import open_udp
 
 __all__ = ["DatagramHeader", "Membership"]
 
@@ -91,9 +90,7 @@
 
     def listen(self) -> None:
         """Open the socket; raises SETTING_INVALID when the address is taken."""
-        family = socket.AF_INET6 if ":" in self._address.ip else socket.AF_INET
-        self._sock = socket.socket(family, socket.SOCK_DGRAM)
-        bind_socket(self._sock, self._address)
+        self._sock = open_udp(self._address)
 
     async def receive_forever(self, scope: TaskScope) -> None:
         """Take datagrams until cancelled."""
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -9,13 +9,12 @@
 import h11
 
 from guavagap.caller_connections import CallerDownstream
+from guavagap.caller_errors import linger, send_error
+from guavagap.caller_watch import ConnectionWatch, WatchedConnection
 from guavagap.directory import Target
 from guavagap.errors import ErrorKind, GuavagapError, answer_for
 from guavagap.evidence import EvidenceKey
 from guavagap.exchange import (
-    RUN_HEADER,
-    RUN_NOT_RUN,
-    RUN_UNKNOWN,
     AnswerHead,
     Attempt,
     ForwardedRequest,
@@ -45,10 +44,7 @@
 KEY_HEADER = b"idempotency-key"
 MAX_KEY_BYTES = 256
 VIA = (b"via", b"1.1 guavagap")
-WATCH_INTERVAL_S = 0.1
 STRIKE_GOSSIP_TARGETS = 6
-LINGER_S = 1.0
-LINGER_BYTES = 262_144
 FAILURE_STATUS = 500
 
 _CRASH_KINDS = (ErrorKind.BACKEND_SERVER_LOST, ErrorKind.BODY_CUT_SHORT)
@@ -72,22 +68,6 @@
     idempotency_key: bytes
 
 
-class _Watched:
-    """A caller's connection and since when it is in its present phase."""
-
-    __slots__ = ("connection", "task", "is_answering", "since_s")
-
-    def __init__(self, connection: Http1Connection, task: curio.Task):
-        self.connection = connection
-        self.task = task
-        self.start(is_answering=False)
-
-    def start(self, is_answering: bool) -> None:
-        """Enter a phase."""
-        self.is_answering = is_answering
-        self.since_s = time.monotonic()
-
-
 class Proxy:
     """Serves callers of one node.
 
@@ -103,7 +83,7 @@
         self.counts: Counter[str] = Counter()
         self.in_flight = 0
         self._node = node
-        self._watched: set[_Watched] = set()
+        self.watch = ConnectionWatch(node.settings.caller_read_timeout_s, self.counts)
         self._budgets: dict[tuple[str, str], RetryBudget] = {}
         self._request_numbers = count(1)
         self._request_prefix = f"{node.settings.node_id}-{time.time_ns():x}-".encode()
@@ -111,53 +91,35 @@
     @property
     def connection_count(self) -> int:
         """How many callers' connections are open."""
-        return len(self._watched)
+        return len(self.watch.connections)
 
     async def serve(self, sock) -> None:
         """Answer the requests of one caller's connection."""
         connection = Http1Connection(sock, h11.SERVER)
-        watched = _Watched(connection, await curio.current_task())
-        self._watched.add(watched)
+        watched = WatchedConnection(connection, await curio.current_task())
+        self.watch.connections.add(watched)
         try:
-            if len(self._watched) > self._node.settings.max_caller_connections:
+            if len(self.watch.connections) > self._node.settings.max_caller_connections:
                 error = GuavagapError(ErrorKind.OVERLOADED, "too many connections")
-                await self._send_error(connection, error, b"")
+                await send_error(connection, error, b"", self._node.is_draining)
                 return
             while await self._serve_request(connection, watched):
                 pass
         except (OSError, h11.ProtocolError, GuavagapError) as error:
             log.debug("caller connection ended", why=repr(error))
         finally:
-            self._watched.discard(watched)
+            self.watch.connections.discard(watched)
             await connection.close()
 
-    async def run_watch(self) -> None:
-        """End connections that are idle for long or whose caller has gone."""
-        while True:
-            await curio.sleep(WATCH_INTERVAL_S)
-            now_s = time.monotonic()
-            idle_before_s = now_s - self._node.settings.caller_read_timeout_s
-            waiting_before_s = now_s - WATCH_INTERVAL_S
-            for watched in list(self._watched):
-                connection = watched.connection
-                if watched.is_answering:
-                    is_over = watched.since_s < waiting_before_s
-                    is_over = is_over and connection.is_closed_by_peer()
-                    self.counts[ErrorKind.CALLER_GONE.value] += is_over
-                else:
-                    is_over = watched.since_s < idle_before_s and connection.is_silent()
-                if is_over:
-                    await watched.task.cancel(blocking=False)
-
     async def _serve_request(
-        self, connection: Http1Connection, watched: "_Watched"
+        self, connection: Http1Connection, watched: WatchedConnection
     ) -> bool:
         """Answer one request; return whether the connection may be kept."""
         try:
             head = await read_request_head(connection)
         except GuavagapError as error:
-            await self._send_error(connection, error, b"")
-            await _linger(connection)
+            await send_error(connection, error, b"", self._node.is_draining)
+            await linger(connection)
             return False
         if head is None:
             return False
@@ -183,33 +145,12 @@
         self.counts[error.kind.value] += 1
         if connection.h11.our_state is not h11.SEND_RESPONSE:
             return False
-        await self._send_error(connection, error, request_id)
+        await send_error(connection, error, request_id, self._node.is_draining)
         if connection.start_next_cycle():
             return not self._node.is_draining
-        await _linger(connection)
+        await linger(connection)
         return False
 
-    async def _send_error(
-        self, connection: Http1Connection, error: GuavagapError, request_id: bytes
-    ) -> None:
-        answer = answer_for(error.kind)
-        body = f"{error.kind.value}: {error.detail}\n".encode()
-        run = RUN_NOT_RUN if answer.is_not_run else RUN_UNKNOWN
-        headers = [
-            (b"content-type", b"text/plain; charset=utf-8"),
-            (b"content-length", b"%d" % len(body)),
-            (RUN_HEADER, run),
-            (b"guavagap-error", error.kind.value.encode()),
-            (REQUEST_ID_HEADER, request_id),
-        ]
-        if self._node.is_draining:
-            headers.append((b"connection", b"close"))
-        protocol = connection.h11
-        if protocol.our_state not in (h11.SEND_RESPONSE, h11.IDLE):
-            return
-        response = h11.Response(status_code=answer.status, headers=headers)
-        await connection.send(response, h11.Data(data=body), h11.EndOfMessage())
-
     async def _answer(
         self, connection: Http1Connection, head: RequestHead, request_id: bytes
     ) -> None:
@@ -483,18 +424,3 @@
     headers = [item for item in request.headers if item[0] != RETRY_HEADER]
     headers.append((RETRY_HEADER, b"1"))
     return exchange._replace(request=request._replace(headers=headers))
-
-
-async def _linger(connection: Http1Connection) -> None:
-    """Let the caller read the answer although its request was not read."""
-    received_bytes = 0
-    try:
-        async with curio.ignore_after(LINGER_S):
-            await connection.sock.shutdown(1)
-            while received_bytes < LINGER_BYTES:
-                data = await connection.sock.recv(LINGER_BYTES)
-                if not data:
-                    return
-                received_bytes += len(data)
-    except OSError:
-        pass
--- /dev/null
+++ b/guavagap/tcp.py
@@ -0,0 +1,73 @@
+"""TCP and UDP sockets by IP number (plumbing)."""
+
+import curio
+from curio import socket
+
+from guavagap.addresses import Address, format_address
+from guavagap.errors import ErrorKind, GuavagapError
+
+__all__ = ["bind_socket", "connect_tcp", "open_listener", "open_udp"]
+
+LISTEN_BACKLOG = 1024
+
+
+def _family_of(address: Address):
+    return socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+
+
+async def connect_tcp(address: Address, timeout_s: float, kind: ErrorKind):
+    """Return a connected socket without delayed sending.
+
+    Args:
+        address: the other end.
+        timeout_s: limit of the attempt.
+        kind: the error to raise when it fails; nothing was sent then.
+
+    Raises:
+        GuavagapError: of that kind.
+    """
+    sock = socket.socket(_family_of(address), socket.SOCK_STREAM)
+    try:
+        async with curio.timeout_after(timeout_s):
+            await sock.connect(address)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except (OSError, curio.TaskTimeout) as error:
+        await sock.close()
+        detail = f"{format_address(address)}: {error!r}"
+        raise GuavagapError(kind, detail) from None
+    except curio.CancelledError:
+        await sock.close()
+        raise
+    return sock
+
+
+def bind_socket(sock, address: Address) -> None:
+    """Bind a socket.
+
+    Raises:
+        GuavagapError: SETTING_INVALID when the address cannot be had.
+    """
+    try:
+        sock.bind(address)
+    except OSError as error:
+        raise GuavagapError(
+            ErrorKind.SETTING_INVALID,
+            f"address {format_address(address)}: {error.strerror}; allowed is a"
+            " free port on an address of this VM",
+        ) from None
+
+
+def open_listener(address: Address):
+    """Return a listening TCP socket; raises SETTING_INVALID."""
+    sock = socket.socket(_family_of(address), socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bind_socket(sock, address)
+    sock.listen(LISTEN_BACKLOG)
+    return sock
+
+
+def open_udp(address: Address):
+    """Return a bound UDP socket; raises SETTING_INVALID."""
+    sock = socket.socket(_family_of(address), socket.SOCK_DGRAM)
+    bind_socket(sock, address)
+    return sock
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -2,7 +2,9 @@
 
 Each run is entered in a ledger with the request's ``x-test-id``; ``GET /_ledger``
 returns it, and is the judge of what was run how often. Request headers make a
-run misbehave: ``x-delay-ms``, ``x-status``, ``x-answer-bytes``, ``x-crash`` (the
+run misbehave: ``x-delay-ms``, ``x-status``, ``x-answer-bytes``, ``x-lose-share``
+(that share of runs closes without an answer), ``x-chain`` (calls on through
+``--caller-address``, trying ``x-chain-tries`` times at each step), ``x-crash`` (the
 process ends), ``x-cut`` (the connection closes in mid answer), ``x-refuse`` (not
 run, in the agreed way). Flags make every run of this server slow or failing.
 """
@@ -22,12 +24,12 @@
     Http1Connection,
     RequestHead,
     header_value,
-    open_listener,
     read_request_head,
 )
 from guavagap.http_messages import HttpRequest, accept_connections, call_http
 from guavagap.shutdown import open_shutdown_signal
 from guavagap.tasks import open_task_scope
+from guavagap.tcp import open_listener
 
 __all__ = ["BackendServerStandIn", "main"]
 
@@ -39,7 +41,16 @@
 class Behaviour:
     """How every run of this server behaves."""
 
-    def __init__(self, delay_ms: float, failing_share: float, failing_path: str):
+    def __init__(
+        self,
+        delay_ms: float,
+        failing_share: float,
+        failing_path: str,
+        enforced_slots: int,
+        caller: Address | None,
+    ):
+        self.slot = curio.Semaphore(enforced_slots) if enforced_slots else None
+        self.caller = caller
         self.delay_ms = delay_ms
         self.failing_share = failing_share
         self.failing_path = failing_path.encode()
@@ -109,17 +120,56 @@
     async def _run(self, connection, head: RequestHead, body_bytes: int) -> bool:
         test_id = header_value(head.headers, b"x-test-id") or b"-"
         self.ledger[test_id.decode()] = self.ledger.get(test_id.decode(), 0) + 1
+        if random.random() < float(header_value(head.headers, b"x-lose-share") or 0):
+            return False
         self.in_flight += 1
         self.peak_in_flight = max(self.peak_in_flight, self.in_flight)
         try:
-            delay_ms = float(header_value(head.headers, b"x-delay-ms") or 0)
-            delay_ms += self.behaviour.delay_ms
-            if delay_ms:
-                await curio.sleep(delay_ms / 1000)
+            await self._work(head)
+            if not await self._call_on(head):
+                return await self._refuse_chain(connection)
             return await self._answer(connection, head, test_id, body_bytes)
         finally:
             self.in_flight -= 1
 
+    async def _work(self, head: RequestHead) -> None:
+        """Take the time that a run takes, in a slot where slots are enforced."""
+        delay_ms = float(header_value(head.headers, b"x-delay-ms") or 0)
+        delay_ms += self.behaviour.delay_ms
+        if not delay_ms:
+            return
+        if self.behaviour.slot is None:
+            await curio.sleep(delay_ms / 1000)
+            return
+        async with self.behaviour.slot:
+            await curio.sleep(delay_ms / 1000)
+
+    async def _call_on(self, head: RequestHead) -> bool:
+        """Call the next service of a chain; return whether it answered."""
+        depth = int(header_value(head.headers, b"x-chain") or 0)
+        if depth <= 1:
+            return True
+        passed = (b"x-lose-share", b"x-chain-tries", b"guavagap-retry")
+        headers = [item for item in head.headers if item[0] in passed]
+        headers.append((b"x-chain", b"%d" % (depth - 1)))
+        request = HttpRequest(b"GET", head.target, headers)
+        tries = int(header_value(head.headers, b"x-chain-tries") or 1)
+        for _ in range(tries):
+            try:
+                response = await call_http(self.behaviour.caller, request, 10.0)
+            except GuavagapError:
+                continue
+            if response.status == 200:
+                return True
+        return False
+
+    async def _refuse_chain(self, connection) -> bool:
+        await connection.send(
+            h11.Response(status_code=502, headers=[(b"content-length", b"0")]),
+            h11.EndOfMessage(),
+        )
+        return connection.start_next_cycle()
+
     async def _answer(self, connection, head, test_id: bytes, body_bytes: int) -> bool:
         status = int(header_value(head.headers, b"x-status") or 200)
         if self.behaviour.fails(head.target):
@@ -219,6 +269,8 @@
 @click.option("--delay-ms", default=0.0)
 @click.option("--failing-share", default=0.0)
 @click.option("--failing-path", default="/")
+@click.option("--enforced-slots", default=0)
+@click.option("--caller-address", default=None)
 def main(
     address,
     admin_address,
@@ -232,9 +284,12 @@
     delay_ms,
     failing_share,
     failing_path,
+    enforced_slots,
+    caller_address,
 ):
     """Run a stand-in backend server."""
-    behaviour = Behaviour(delay_ms, failing_share, failing_path)
+    caller = None if caller_address is None else parse_address(caller_address)
+    behaviour = Behaviour(delay_ms, failing_share, failing_path, enforced_slots, caller)
     server = BackendServerStandIn(server_id, version, slots, behaviour)
     announcement = {
         "service": service,
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -16,7 +16,7 @@
 
 from guavagap.addresses import parse_address
 from guavagap.errors import ErrorKind, GuavagapError
-from guavagap.http1 import header_value, open_listener
+from guavagap.http1 import header_value
 from guavagap.http_messages import (
     HttpRequest,
     HttpResponse,
@@ -25,6 +25,7 @@
 )
 from guavagap.platform import ABSENT, MemoryStore
 from guavagap.tasks import open_task_scope
+from guavagap.tcp import open_listener
 
 __all__ = ["PlatformServer", "serve_platform"]
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,11 +6,11 @@
 
 from guavagap.addresses import Address
 from guavagap.errors import ErrorKind, GuavagapError
-from guavagap.http1 import open_listener
 from guavagap.http_messages import accept_connections, serve_http
 from guavagap.platform import ABSENT, MAX_VALUE_BYTES, MemoryPlatform, MemoryStore
 from guavagap.platform_http import open_platform
 from guavagap.tasks import open_task_scope
+from guavagap.tcp import open_listener
 from standins.fleet import free_ports
 from standins.platform_server import PlatformServer
 from tests.cases import AsyncTestCase
