Exchange only the member rows that differ

Ruled out: exchanging whole tables more often (910 rows are 170 kB each time).

Change: rows fall into 32 buckets with a digest each; a node asks for the rows of buckets that differ, at most every five seconds, whether it has news or not. call_http keeps a Host header that is given (the chain of stand-ins had none of its calls routed).

--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -100,7 +100,8 @@
 @handle_message.register
 async def _(message: MembersRequest, node, link) -> None:
     node.membership.merge(message.own)
-    await link.send(MembersReply(message.call_id, tuple(node.table.rows())))
+    rows = node.table.rows_differing(message.bucket_digests)
+    await link.send(MembersReply(message.call_id, tuple(rows)))
 
 
 @handle_message.register
--- a/guavagap/http_messages.py
+++ b/guavagap/http_messages.py
@@ -109,14 +109,12 @@
         async with curio.timeout_after(timeout_s):
             connection = await connect_http1(address, timeout_s)
             try:
-                request = request._replace(
-                    headers=[
-                        (b"host", format_address(address).encode()),
-                        (b"connection", b"close"),
-                        *request.headers,
-                    ]
+                headers = [(b"connection", b"close"), *request.headers]
+                if header_value(headers, b"host") is None:
+                    headers.append((b"host", format_address(address).encode()))
+                return await exchange_http(
+                    connection, request._replace(headers=headers)
                 )
-                return await exchange_http(connection, request)
             finally:
                 await connection.close()
     except (OSError, h11.ProtocolError, GuavagapError, curio.TaskTimeout) as error:
--- a/guavagap/members.py
+++ b/guavagap/members.py
@@ -7,6 +7,8 @@
 
 import hashlib
 import math
+from functools import reduce
+from operator import xor
 from typing import NamedTuple
 
 from guavagap.messages import BackendServer, Member, MemberState
@@ -16,6 +18,7 @@
 DEAD_RETENTION_S = 600.0
 TRANSMISSIONS_FACTOR = 3
 MIN_TRANSMISSIONS = 4
+BUCKETS = 32
 
 
 class Suspicion(NamedTuple):
@@ -38,6 +41,11 @@
     return int.from_bytes(code, "big")
 
 
+def _bucket_of(node_id: str) -> int:
+    code = hashlib.blake2b(node_id.encode(), digest_size=2).digest()
+    return int.from_bytes(code, "big") % BUCKETS
+
+
 class MemberTable:
     """Rows of every known node, and what is still to be told to others.
 
@@ -48,7 +56,8 @@
 
     def __init__(self, own: Member, clock):
         self.own = own
-        self.digest = _row_digest(own)
+        self.bucket_digests = [0] * BUCKETS
+        self.bucket_digests[_bucket_of(own.node_id)] = _row_digest(own)
         self.version = 0
         self.unreachable_domains: set[str] = set()
         self._clock = clock
@@ -57,6 +66,22 @@
         self._suspected_since: dict[str, float] = {}
         self._ended_at: dict[str, float] = {}
 
+    @property
+    def digest(self) -> int:
+        """Digest over all rows."""
+        return reduce(xor, self.bucket_digests)
+
+    def rows_differing(self, bucket_digests: tuple[int, ...]) -> list[Member]:
+        """Return the rows in buckets whose digest is not another node's."""
+        if len(bucket_digests) != BUCKETS:
+            return self.rows()
+        differing = {
+            bucket
+            for bucket, digest in enumerate(self.bucket_digests)
+            if digest != bucket_digests[bucket]
+        }
+        return [row for row in self.rows() if _bucket_of(row.node_id) in differing]
+
     def __len__(self) -> int:
         return len(self._rows)
 
@@ -158,7 +183,7 @@
         now_s = self._clock()
         for node_id, ended_at_s in list(self._ended_at.items()):
             if now_s - ended_at_s > DEAD_RETENTION_S:
-                self.digest ^= _row_digest(self._rows.pop(node_id))
+                self._toggle(self._rows.pop(node_id))
                 del self._ended_at[node_id]
                 self._transmissions_left.pop(node_id, None)
                 self.version += 1
@@ -183,8 +208,8 @@
         node_id = row.node_id
         held = self._rows.get(node_id)
         if held is not None:
-            self.digest ^= _row_digest(held)
-        self.digest ^= _row_digest(row)
+            self._toggle(held)
+        self._toggle(row)
         self._rows[node_id] = row
         self.version += 1
         self._transmissions_left[node_id] = self._transmissions()
@@ -192,6 +217,10 @@
             self.own = row
         self._note_state(node_id, row.state)
 
+    def _toggle(self, row: Member) -> None:
+        """Add a row to the digest of its bucket, or take it out again."""
+        self.bucket_digests[_bucket_of(row.node_id)] ^= _row_digest(row)
+
     def _note_state(self, node_id: str, state: int) -> None:
         if state == MemberState.SUSPECT:
             self._suspected_since.setdefault(node_id, self._clock())
--- a/guavagap/messages.py
+++ b/guavagap/messages.py
@@ -277,14 +277,19 @@
 
 
 class MembersRequest(NamedTuple):
-    """Asks for the whole member table and introduces the sender."""
+    """Asks for rows that the sender lacks, and introduces the sender.
+
+    Attributes:
+        bucket_digests: digests of the sender's rows by bucket.
+    """
 
     call_id: int
     own: Member
+    bucket_digests: tuple[int, ...]
 
 
 class MembersReply(NamedTuple):
-    """Answer to :class:`MembersRequest`."""
+    """Answer to :class:`MembersRequest`: the rows of buckets that differ."""
 
     call_id: int
     members: tuple[Member, ...]
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -57,7 +57,7 @@
 LEARN_MEMBERS_ASKED = 5
 CATCH_UP_WAIT_S = 2.0
 CATCH_UP_STEP_S = 0.05
-SYNC_INTERVAL_S = 10.0
+SYNC_INTERVAL_S = 5.0
 GOSSIP_TARGETS = 6
 LEAVE_GOSSIP_TARGETS = 12
 
@@ -166,15 +166,16 @@
             await self.scope.spawn(self.sync_notices, datagram.sender_id)
         is_same_table = datagram.members_digest == self.table.digest
         is_due = time.monotonic() - self._synced_at_s > SYNC_INTERVAL_S
-        if not is_same_table and is_due and not self.table.has_news():
+        if not is_same_table and is_due:
             self._synced_at_s = time.monotonic()
             await self.scope.spawn(self.sync_members, datagram.sender_id)
 
     async def sync_members(self, node_id: str) -> None:
-        """Exchange whole member tables with another node."""
+        """Fetch the member rows that another node has otherwise."""
         try:
             link = await self.links.get(node_id)
-            reply = await link.call(MembersRequest(0, self.table.own))
+            digests = tuple(self.table.bucket_digests)
+            reply = await link.call(MembersRequest(0, self.table.own, digests))
         except GuavagapError as error:
             log.info("members not synchronised", peer=node_id, why=str(error))
             return
--- a/guavagap/schemas/mesh.capnp
+++ b/guavagap/schemas/mesh.capnp
@@ -84,7 +84,7 @@
 struct DeltaReply { callId @0 :UInt64; isBusy @1 :Bool; compressed @2 :Data; rawBytes @3 :UInt32; redirectIds @4 :List(Text); }
 struct DeltaPush { compressed @0 :Data; rawBytes @1 :UInt32; rootId @2 :Text; baseEpoch @3 :UInt64; epoch @4 :UInt64; }
 
-struct MembersRequest { callId @0 :UInt64; own @1 :Member; }
+struct MembersRequest { callId @0 :UInt64; own @1 :Member; bucketDigests @2 :List(UInt64); }
 struct MembersReply { callId @0 :UInt64; members @1 :List(Member); }
 
 struct NoticesRequest { callId @0 :UInt64; notices @1 :List(Notice); }
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -149,7 +149,7 @@
         depth = int(header_value(head.headers, b"x-chain") or 0)
         if depth <= 1:
             return True
-        passed = (b"x-lose-share", b"x-chain-tries", b"guavagap-retry")
+        passed = (b"host", b"x-lose-share", b"x-chain-tries", b"guavagap-retry")
         headers = [item for item in head.headers if item[0] in passed]
         headers.append((b"x-chain", b"%d" % (depth - 1)))
         request = HttpRequest(b"GET", head.target, headers)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -79,6 +79,20 @@
         self.assertTrue(table.set_domain_reachable("other", True))
         self.assertTrue(table.is_usable(table.get("a")))
 
+    def test_only_rows_of_differing_buckets_are_exchanged(self):
+        first, second = self.make(), self.make()
+        for number in range(300):
+            first.merge(make_member(f"n{number}"))
+            second.merge(make_member(f"n{number}"))
+        self.assertEqual([], first.rows_differing(tuple(second.bucket_digests)))
+        first.merge(make_member("n7", 2))
+        rows = first.rows_differing(tuple(second.bucket_digests))
+        self.assertIn(first.get("n7"), rows)
+        self.assertTrue(len(rows) < 60, len(rows))
+        for row in rows:
+            second.merge(row)
+        self.assertEqual(first.digest, second.digest)
+
     def test_each_row_is_told_a_bounded_number_of_times(self):
         table = self.make()
         for number in range(50):
