--- a/guavagap/settings.py
+++ b/guavagap/settings.py
@@ -136,6 +136,7 @@
         "--platform-url",
         "platform_address",
         required=True,
+        envvar="GUAVAGAP_PLATFORM_URL",
         type=_PlatformUrlType(),
         help="The platform's key-value service.",
     ),
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -52,12 +52,12 @@
 
 
 class SettingsTests(FleetTestCase):
-    def run_daemon(self, *arguments: str, key: str = "0123456789abcdef"):
+    def run_daemon(self, *arguments: str, key: str = "0123456789abcdef", **env: str):
         return subprocess.run(
             [sys.executable, "-m", "guavagap.daemon", *arguments],
             capture_output=True,
             text=True,
-            env={**os.environ, "GUAVAGAP_MESH_KEY": key},
+            env={**os.environ, "GUAVAGAP_MESH_KEY": key, **env},
             timeout=20,
         )
 
@@ -81,6 +81,17 @@
         options.update({f"--{k.replace('_', '-')}": v for k, v in changes.items()})
         return [part for pair in options.items() for part in pair]
 
+    def test_every_setting_can_come_from_the_environment(self):
+        names = ("PLATFORM_URL", "NODE_ID", "DRAIN_TIMEOUT_S")
+        for name in names:
+            flag = "--" + name.lower().replace("_", "-")
+            arguments = self.valid(drain_timeout_s="1")
+            index = arguments.index(flag)
+            del arguments[index : index + 2]
+            result = self.run_daemon(*arguments, **{f"GUAVAGAP_{name}": "!"})
+            self.assert_refused(result, flag)
+            self.assertNotIn("Missing", result.stderr)
+
     def test_host_name_is_refused_with_setting_value_and_allowed(self):
         result = self.run_daemon(*self.valid(link_address="localhost:2"))
         self.assert_refused(result, "--link-address", "localhost:2", "IP")
