Say unknown when any attempt of a request may have run

Cause: found by reading. After an idempotent request was lost on one backend server and no other was left, the answer was no_backend_server with not-run, although the first attempt had run. The new test failed so: 503 not-run with one run in the ledger.

Change: the attempts remember an error after which the request may have run; a later refusal is answered with that error.

--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -166,6 +166,13 @@
         "        if attempt.is_written:",
         "        if False:",
     ),
+    _cut(
+        "an attempt that may have run is remembered",
+        "test_proxy_failures.py::AtMostOnceTests::test_refusal_after_an_attempt",
+        "proxy.py",
+        "raise unknown or error",
+        "raise",
+    ),
     _cut(
         "retry on another backend server",
         "test_proxy_failures.py::AtMostOnceTests::test_post_on_a_dead",
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -270,19 +270,23 @@
     async def _run_attempts(self, exchange: _Exchange) -> None:
         budget = self._budget(exchange.route)
         excluded: set[str] = set()
+        unknown: GuavagapError | None = None
         attempts = 0
         while True:
             attempts += 1
-            target = self._choose(exchange, excluded)
             attempt = Attempt()
             try:
+                target = self._choose(exchange, excluded)
                 await self._try(exchange, target, attempt)
                 budget.note_success()
                 return
             except GuavagapError as error:
+                if not answer_for(error.kind).is_not_run:
+                    unknown = error
                 failure = self._failure(exchange, error, attempt, attempts)
                 if not may_retry(failure) or not budget.try_spend():
-                    raise
+                    # A later refusal does not undo an attempt that may have run.
+                    raise unknown or error
                 self.counts["retries"] += 1
                 excluded.add(target.server.server_id)
                 exchange = _marked(exchange)
--- a/tests/test_proxy_failures.py
+++ b/tests/test_proxy_failures.py
@@ -67,6 +67,13 @@
         time.sleep(0.5)
         self.assertEqual(1, len(self.alive_servers(fleet)))
 
+    def test_refusal_after_an_attempt_that_may_have_run_is_unknown(self):
+        fleet = self.start(layout={"a1": "da"}, service="catalogue")
+        headers = {"x-test-id": "t", "x-lose-share": "1"}
+        reply = fleet.call("a1", "/catalogue/x", headers=headers)
+        self.assertEqual(1, self.runs(fleet, "t"))
+        self.assertEqual("unknown", reply.headers["guavagap-run"], reply)
+
     def test_refusal_says_not_run_and_the_ledger_agrees(self):
         fleet = self.start()
         reply = self.post(fleet, "a1", "t1", x_refuse="1")
