Close idle links, answer internal errors, and drop what nothing uses

Links were dialed and never closed, so a node would come to hold one to every member of its failure domain; a fault in our own code ended a caller's connection without an answer; some methods had no user; options of one shape stood written out ten times.

Ruled out: keeping idle links open for speed (a push dials in milliseconds, and a change comes once a minute at the target).

--- a/guavagap/directory.py
+++ b/guavagap/directory.py
@@ -123,18 +123,6 @@
         self.refresh()
         return self._targets.get((service, pool, version), ())
 
-    def versions(self, service: str, pool: str) -> list[str]:
-        """Return the versions that have targets."""
-        self.refresh()
-        return sorted(
-            key[2] for key in self._targets if key[0] == service and key[1] == pool
-        )
-
-    def get(self, server_id: str) -> Target | None:
-        """Return a target by its backend server's identifier."""
-        self.refresh()
-        return self._by_id.get(server_id)
-
     def all_targets(self) -> list[Target]:
         """Return every target."""
         self.refresh()
--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -66,6 +66,9 @@
         is_not_run = not attempt.is_written or answer_for(error.kind).is_not_run
         if not link.is_closed:
             await stream.send_reset(error.kind, error.detail, is_not_run)
+    except Exception:
+        await stream.send_reset(ErrorKind.INTERNAL, "see the owner node's log", False)
+        raise
     finally:
         stream.close()
 
--- a/guavagap/http1.py
+++ b/guavagap/http1.py
@@ -72,13 +72,12 @@
             folding.
     """
 
-    __slots__ = ("sock", "h11", "is_head_folded", "_is_server", "used_count")
+    __slots__ = ("sock", "h11", "is_head_folded", "_is_server")
 
     def __init__(self, sock, role):
         self.sock = sock
         self.h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
         self.is_head_folded = False
-        self.used_count = 0
         self._is_server = role is h11.SERVER
 
     async def next_event(self):
@@ -132,7 +131,6 @@
         if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
             return False
         protocol.start_next_cycle()
-        self.used_count += 1
         if self._is_server:
             self._inspect_head()
         return True
--- a/guavagap/http_messages.py
+++ b/guavagap/http_messages.py
@@ -5,7 +5,6 @@
 instead and does not use this module.
 """
 
-from contextlib import asynccontextmanager
 from socket import IPPROTO_TCP, TCP_NODELAY
 from typing import NamedTuple
 
@@ -165,13 +164,3 @@
             sock, _ = await listener.accept()
             sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
             await scope.spawn(serve, sock)
-
-
-@asynccontextmanager
-async def open_http_connection(address: Address, timeout_s: float):
-    """Yield a client connection that is closed at the end."""
-    connection = await connect_http1(address, timeout_s)
-    try:
-        yield connection
-    finally:
-        await connection.close()
--- a/guavagap/link.py
+++ b/guavagap/link.py
@@ -10,6 +10,7 @@
 import hmac
 import os
 import struct
+import time
 from collections import Counter
 from contextlib import asynccontextmanager
 from typing import NamedTuple
@@ -150,6 +151,7 @@
         peer_id: the other node.
         streams: forwarded requests in progress, by stream id.
         is_closed: True when nothing more can be sent or received.
+        used_at_s: monotonic time of the latest message sent.
     """
 
     def __init__(self, channel: _FrameChannel, peer_id: str):
@@ -157,10 +159,17 @@
         self.streams: dict[int, Stream] = {}
         self.is_closed = False
         self._channel = channel
+        self.used_at_s = time.monotonic()
         self._calls: dict[int, curio.Event] = {}
         self._replies: dict[int, object] = {}
         self._next_id = 1
 
+    def is_idle(self, idle_s: float) -> bool:
+        """Return whether nothing is in progress and nothing was sent for long."""
+        if self.streams or self._calls:
+            return False
+        return time.monotonic() - self.used_at_s > idle_s
+
     def next_id(self) -> int:
         """Return an identifier never used before on this connection."""
         self._next_id += 1
@@ -170,6 +179,7 @@
         """Send one message; raises LINK_LOST."""
         if self.is_closed:
             raise GuavagapError(ErrorKind.LINK_LOST, "the link is closed")
+        self.used_at_s = time.monotonic()
         await self._channel.send(message)
 
     async def call(self, message, timeout_s: float = CALL_TIMEOUT_S):
--- a/guavagap/links.py
+++ b/guavagap/links.py
@@ -14,6 +14,8 @@
 
 log = get_logger()
 
+IDLE_LINK_S = 30.0
+
 
 class LinkPool:
     """Dialed and accepted links of one node.
@@ -120,15 +122,15 @@
                 return
             log.debug("link ended", why=str(error))
 
+    async def close_idle(self, idle_s: float = IDLE_LINK_S) -> None:
+        """Close dialed links that have not been used for long."""
+        for link in list(self._dialed.values()):
+            if link.is_idle(idle_s):
+                await link.close()
+
     async def close_blocked(self) -> None:
         """Close every link to or from a node whose address is blocked."""
         for link in [*self._dialed.values(), *self.accepted]:
             row = self._table.get(link.peer_id)
             if row is not None and parse_address(row.link_address) in self._blocked:
                 await link.close()
-
-    async def close_peer(self, node_id: str) -> None:
-        """Close the dialed link to a node that is dead or gone."""
-        link = self._dialed.pop(node_id, None)
-        if link is not None:
-            await link.close()
--- a/guavagap/metrics.py
+++ b/guavagap/metrics.py
@@ -2,7 +2,6 @@
 
 import gc
 import resource
-import time
 
 from aioprometheus import Counter, Gauge, Registry, render
 
@@ -21,7 +20,6 @@
         self._registry = Registry()
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
-        self._started_s = time.monotonic()
 
     def render(self) -> tuple[bytes, str]:
         """Return the text and its content type."""
@@ -120,6 +118,12 @@
                 front.admission.in_flight,
                 server=server_id,
             )
+            self._gauge(
+                "queued_requests",
+                "Requests that wait for a slot.",
+                front.admission.queue_length,
+                server=server_id,
+            )
             self._gauge(
                 "permits_counted",
                 "Direct connections counted against the limit.",
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -274,6 +274,7 @@
         while True:
             await curio.sleep(HOUSEKEEPING_S)
             await self.announcements_changed()
+            await self.links.close_idle()
             if self._is_spread_wanted:
                 self._is_spread_wanted = False
                 await self.membership.gossip_now(GOSSIP_TARGETS)
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -132,6 +132,12 @@
             await self._answer(connection, head, request_id)
         except GuavagapError as error:
             return await self._answer_error(connection, error, request_id)
+        except OSError:
+            return False
+        except Exception as error:
+            log.error("request failed", exc_info=error)
+            internal = GuavagapError(ErrorKind.INTERNAL, "see this node's log")
+            return await self._answer_error(connection, internal, request_id)
         finally:
             self.in_flight -= 1
             watched.start(is_answering=False)
--- a/guavagap/settings.py
+++ b/guavagap/settings.py
@@ -100,37 +100,27 @@
     return parse_address(parts.netloc)
 
 
-def _seconds(low: float, high: float) -> click.FloatRange:
-    return click.FloatRange(low, high)
+def _address_option(flag: str, help_text: str):
+    """Return a required option for an address of this process."""
+    return click.option(flag, required=True, type=_AddressType(), help=help_text)
+
+
+def _seconds_option(flag: str, default_s: float, low_s: float, high_s: float):
+    """Return an option for a duration in seconds."""
+    allowed = click.FloatRange(low_s, high_s)
+    return click.option(flag, default=default_s, type=allowed, show_default=True)
 
 
 _OPTIONS = (
     click.option("--node-id", required=True, type=_NameType()),
     click.option("--region", required=True, type=_NameType()),
     click.option("--failure-domain", required=True, type=_NameType()),
-    click.option(
-        "--caller-address",
-        required=True,
-        type=_AddressType(),
-        help="Where callers send their HTTP requests.",
-    ),
-    click.option(
-        "--link-address",
-        required=True,
-        type=_AddressType(),
-        help="TCP between nodes.",
-    ),
-    click.option(
-        "--mesh-address",
-        required=True,
-        type=_AddressType(),
-        help="UDP between nodes.",
-    ),
-    click.option(
+    _address_option("--caller-address", "Where callers send their HTTP requests."),
+    _address_option("--link-address", "TCP between nodes."),
+    _address_option("--mesh-address", "UDP between nodes."),
+    _address_option(
         "--admin-address",
-        required=True,
-        type=_AddressType(),
-        help="HTTP for status, metrics and announcements of backend servers.",
+        "HTTP for status, metrics and announcements of backend servers.",
     ),
     click.option(
         "--platform-url",
@@ -149,33 +139,12 @@
     click.option(
         "--log-level", default="info", type=click.Choice(LOG_LEVELS), show_default=True
     ),
-    click.option(
-        "--drain-timeout-s", default=20.0, type=_seconds(0, 3600), show_default=True
-    ),
-    click.option(
-        "--probe-interval-s", default=1.0, type=_seconds(0.05, 60), show_default=True
-    ),
-    click.option(
-        "--suspicion-timeout-s",
-        default=4.0,
-        type=_seconds(0.1, 300),
-        show_default=True,
-    ),
-    click.option(
-        "--relay-lease-ttl-s",
-        default=6.0,
-        type=_seconds(0.5, 300),
-        show_default=True,
-    ),
-    click.option(
-        "--permit-ttl-s", default=6.0, type=_seconds(0.5, 60), show_default=True
-    ),
-    click.option(
-        "--caller-read-timeout-s",
-        default=30.0,
-        type=_seconds(0.1, 3600),
-        show_default=True,
-    ),
+    _seconds_option("--drain-timeout-s", 20.0, 0, 3600),
+    _seconds_option("--probe-interval-s", 1.0, 0.05, 60),
+    _seconds_option("--suspicion-timeout-s", 4.0, 0.1, 300),
+    _seconds_option("--relay-lease-ttl-s", 6.0, 0.5, 300),
+    _seconds_option("--permit-ttl-s", 6.0, 0.5, 60),
+    _seconds_option("--caller-read-timeout-s", 30.0, 0.1, 3600),
     click.option(
         "--max-body-bytes",
         default=64 * 1024 * 1024,
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -205,6 +205,20 @@
                 await other.sendall(bytes(frame))
                 former = frame
 
+    def test_link_is_idle_only_without_calls_and_streams(self):
+        async def case(scope):
+            address = await self.listen(scope, self.serve_echo)
+            identity = LinkIdentity("client", KEY)
+            async with dial_link(address, identity, _counts()) as link:
+                self.assertFalse(link.is_idle(60.0))
+                self.assertTrue(link.is_idle(-1.0))
+                stream = link.open_stream()
+                self.assertFalse(link.is_idle(-1.0))
+                stream.close()
+                self.assertTrue(link.is_idle(-1.0))
+
+        self.check(case)
+
     def test_random_bytes_end_the_link_only(self):
         async def case(scope):
             address = await self.listen(scope, self.serve_echo)
