Keep a caller's connection when its body has ended, and announce each close

A body of a known length longer than the read-ahead was sent on whole; the backend server answered as it had the last byte; the proxy took that for an early answer, never read the end of the request, and closed the caller's kept connection without having said so.

Ruled out: the watcher of idle and abandoned connections (its count stayed 0); errors on the way (no error was counted or logged).

Change: the end of a body of known length is taken with its last byte; an answer to a request whose body is never read announces the close; a draining node closes a connection only after an answer that announced it.

--- a/guavagap/caller_connections.py
+++ b/guavagap/caller_connections.py
@@ -61,18 +61,17 @@
             await self._connection.send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        while self._body_bytes < READ_AHEAD_BYTES:
+        while self._body_bytes < READ_AHEAD_BYTES and not self.is_body_ended:
             chunk = await self.read_body()
-            if chunk is None:
-                self.is_body_complete = True
-                return
-            self.chunks.append(chunk)
+            if chunk is not None:
+                self.chunks.append(chunk)
+        self.is_body_complete = self.is_body_ended
 
     def _take_end_of_message(self) -> None:
         event = self._connection.h11.next_event()
         if type(event) is not h11.EndOfMessage:
             raise GuavagapError(ErrorKind.BAD_REQUEST, "a body without a length")
-        self.is_body_complete = True
+        self.is_body_complete = self.is_body_ended = True
 
     def _check_size(self, size_bytes: int) -> None:
         if size_bytes > self._max_body_bytes:
@@ -81,8 +80,32 @@
             )
 
     async def read_body(self):
+        if self.is_body_ended:
+            return None
+        event = await self._next_event()
+        if type(event) is h11.EndOfMessage:
+            self.is_body_ended = True
+            return None
+        if type(event) is not h11.Data:
+            raise GuavagapError(ErrorKind.CALLER_GONE, "closed in mid request")
+        self._body_bytes += len(event.data)
+        self._check_size(self._body_bytes)
+        self._look_for_end()
+        return bytes(event.data)
+
+    def _look_for_end(self) -> None:
+        """Take the end of the body if it needs no further reading.
+
+        A backend server that knows the length answers when it has the last byte;
+        that is no early answer.
+        """
+        if self._head.content_length_bytes == self._body_bytes:
+            event = self._connection.h11.next_event()
+            self.is_body_ended = type(event) is h11.EndOfMessage
+
+    async def _next_event(self):
         try:
-            event = await curio.timeout_after(
+            return await curio.timeout_after(
                 self._read_timeout_s, self._connection.next_event
             )
         except curio.TaskTimeout:
@@ -93,16 +116,13 @@
             _, is_closed = self._connection.h11.trailing_data
             kind = ErrorKind.CALLER_GONE if is_closed else ErrorKind.BAD_REQUEST
             raise GuavagapError(kind, str(error)) from None
-        if type(event) is h11.EndOfMessage:
-            return None
-        if type(event) is not h11.Data:
-            raise GuavagapError(ErrorKind.CALLER_GONE, "closed in mid request")
-        self._body_bytes += len(event.data)
-        self._check_size(self._body_bytes)
-        return bytes(event.data)
 
     async def send_answer(self, answer: AnswerHead):
-        headers = validated_headers(answer.headers + self._extra_headers)
+        extra = self._extra_headers
+        if not self.is_body_ended:
+            # The rest of the request is never read, so nothing can follow it.
+            extra = [*extra, (b"connection", b"close")]
+        headers = validated_headers(answer.headers + extra)
         events = [h11.Response(status_code=answer.status, headers=headers)]
         events += self._body_events(answer.chunks, answer.is_complete)
         self.is_answer_started = True
--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -91,12 +91,14 @@
         chunks: body read ahead and kept for another attempt.
         is_body_complete: whether ``chunks`` is the whole body.
         is_body_consumed: whether body beyond ``chunks`` has been read.
+        is_body_ended: whether the end of the body has been seen.
         is_answer_started: whether any part of an answer has been sent.
     """
 
     chunks: list[bytes]
     is_body_complete: bool
     is_body_consumed: bool = False
+    is_body_ended: bool = False
     is_answer_started: bool = False
 
     @abstractmethod
@@ -214,7 +216,7 @@
     if is_complete:
         return True
     downstream.is_body_consumed = True
-    while not upstream.has_early_answer():
+    while downstream.is_body_ended or not upstream.has_early_answer():
         chunk = await downstream.read_body()
         try:
             await upstream.send_body(chunk)
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -111,19 +111,19 @@
     """
 
     def __init__(self, stream: Stream, opening: OpenStream):
-        self._is_body_ended = opening.is_complete
+        self.is_body_ended = opening.is_complete
         self.chunks = [opening.body] if opening.body else []
         self.is_body_complete = opening.is_complete
         self._stream = stream
 
     async def read_body(self):
-        if self._is_body_ended:
+        if self.is_body_ended:
             return None
         message = await self._stream.receive()
         if isinstance(message, StreamReset):
             raise GuavagapError(ErrorKind.CALLER_GONE, message.detail)
         await self._stream.consumed(len(message.body))
-        self._is_body_ended = message.is_complete
+        self.is_body_ended = message.is_complete
         if message.body:
             return message.body
         return await self.read_body()
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -141,8 +141,6 @@
         finally:
             self.in_flight -= 1
             watched.start(is_answering=False)
-        if self._node.is_draining:
-            return False
         return connection.start_next_cycle()
 
     async def _answer_error(
@@ -153,7 +151,7 @@
             return False
         await send_error(connection, error, request_id, self._node.is_draining)
         if connection.start_next_cycle():
-            return not self._node.is_draining
+            return True
         await linger(connection)
         return False
 
--- a/tests/test_proxy_failures.py
+++ b/tests/test_proxy_failures.py
@@ -10,6 +10,8 @@
 import threading
 import time
 
+from hypothesis import given, settings, strategies
+
 from standins.fleet import HttpReply, wait_until
 from tests.cases import FleetTestCase
 from tests.test_mesh_failures import FAST, FOUR
@@ -433,6 +435,40 @@
         self.assertIn(b"x-body-bytes: 3", answer)
         self.assertIn(b"x-body-bytes: 2", answer)
 
+    def test_random_shapes_pass_whole_on_each_path(self):
+        fleet = self.start(connections="11")
+        fleet.start_server("s2", "b1", "checkout", connections="110")
+        fleet.wait_targets("checkout", 3)
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", fleet.nodes["a1"].caller_port, timeout=15
+        )
+        self.addCleanup(connection.close)
+
+        @settings(derandomize=True, max_examples=60, deadline=None, database=None)
+        @given(
+            strategies.lists(strategies.integers(1, 90_000), max_size=4),
+            strategies.booleans(),
+            strategies.sampled_from((0, 1, 2048, 65_536, 300_000)),
+            strategies.integers(0, 5),
+        )
+        def check(chunk_sizes, is_chunked, answer_bytes, header_count):
+            body = [bytes(size) for size in chunk_sizes]
+            fields = {f"X-Extra-{n}": "v" * n * 50 for n in range(header_count)}
+            fields |= {"Host": "shop.example", "X-Answer-Bytes": str(answer_bytes)}
+            connection.request(
+                "POST",
+                "/checkout/pay",
+                iter(body) if is_chunked else b"".join(body),
+                fields,
+                encode_chunked=is_chunked,
+            )
+            response = connection.getresponse()
+            answer = response.read()
+            self.assertEqual((200, answer_bytes), (response.status, len(answer)))
+            self.assertEqual(str(sum(chunk_sizes)), response.headers["x-body-bytes"])
+
+        check()
+
     def test_connection_headers_do_not_pass(self):
         fleet = self.start(layout={"a1": "da"})
         reply = fleet.call(
