--- a/guavagap/commits.py
+++ b/guavagap/commits.py
@@ -10,7 +10,6 @@
 import random
 import time
 import uuid
-from datetime import datetime
 from typing import Awaitable, Callable, NamedTuple
 
 import curio
@@ -23,13 +22,13 @@
     encode_document,
     route_matches_overlap,
 )
+from guavagap.entries import check_base, next_entry
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.head import (
     EMPTY_HEAD,
     Change,
     Entry,
     Head,
-    Rollout,
     decode_head,
     encode_head,
 )
@@ -54,7 +53,6 @@
 MAX_SWAP_ATTEMPTS = 40
 FIRST_BACKOFF_S = 0.01
 MAX_BACKOFF_S = 0.5
-MAX_ROLLED_BACK_VERSIONS = 50
 
 _CHANGE_ADAPTER = TypeAdapter(Change)
 
@@ -260,93 +258,6 @@
     return Commit(change["epoch"], change["versions"], attempts)
 
 
-def _check_base(document: Document, entry: Entry | None) -> None:
-    held_version = 0 if entry is None else entry["version"]
-    if document["edited_from"] == held_version:
-        return
-    service = document["service"]
-    if entry is None:
-        detail = (
-            f"{service}: edited from version {document['edited_from']}, none is held"
-        )
-    else:
-        committed_at = datetime.fromtimestamp(entry["committed_at_s"]).astimezone()
-        detail = (
-            f"{service}: edited from version {document['edited_from']}, but"
-            f" {entry['author']} committed version {entry['version']} at"
-            f" {committed_at.isoformat(timespec='seconds')};"
-            f" read it with `guavagap get {service}` and edit that"
-        )
-    raise GuavagapError(ErrorKind.CONFLICT, detail)
-
-
-def _next_rollout(document: Document, entry: Entry, now_s: float) -> Rollout | None:
-    """Return the rollout that a new document asks for."""
-    wanted = document["wanted"]
-    to_version = wanted["backend_server_version"]
-    declared = wanted.get("state", "run")
-    current = entry["rollout"]
-    complete_by_s = datetime.fromisoformat(wanted["complete_by"]).timestamp()
-    if to_version == entry["stable_version"]:
-        if current is None or current["state"] not in ("running", "paused"):
-            return current
-        return current | {
-            "state": "aborted",
-            "weight_permille": 0,
-            "reason": f"the document wants {to_version} again",
-        }
-    if current is None or current["to_version"] != to_version:
-        current = {
-            "from_version": entry["stable_version"],
-            "to_version": to_version,
-            "state": "running",
-            "weight_permille": 0,
-            "started_at_s": now_s,
-            "stage_started_at_s": now_s,
-            "complete_by_s": complete_by_s,
-            "reason": "accepted",
-        }
-    state = {"run": "running", "pause": "paused", "abort": "aborted"}[declared]
-    if current["state"] in ("completed", "rolled_back"):
-        return current
-    weight = 0 if state == "aborted" else current["weight_permille"]
-    reason = current["reason"] if state == "running" else f"declared: {declared}"
-    return current | {
-        "state": state,
-        "weight_permille": weight,
-        "complete_by_s": complete_by_s,
-        "reason": reason,
-    }
-
-
-def _next_entry(
-    document: Document, entry: Entry | None, change: Change, epoch: int
-) -> Entry:
-    wanted_version = document["wanted"]["backend_server_version"]
-    if entry is not None and wanted_version in entry["rolled_back_versions"]:
-        raise GuavagapError(
-            ErrorKind.ROLLED_BACK,
-            f"{document['service']}: version {wanted_version} was rolled back;"
-            " the verdict is final, release a new version",
-        )
-    is_new = entry is None or entry["is_deleted"]
-    base: Entry = {
-        "version": document["edited_from"] + 1,
-        "digest": digest_of(encode_document(document)),
-        "epoch": epoch,
-        "document_epoch": epoch,
-        "author": change["author"],
-        "committed_at_s": change["committed_at_s"],
-        "stable_version": wanted_version if is_new else entry["stable_version"],
-        "rollout": None,
-        "rolled_back_versions": [] if entry is None else entry["rolled_back_versions"],
-        "is_deleted": False,
-    }
-    if not is_new:
-        base["rollout"] = _next_rollout(document, entry, change["committed_at_s"])
-    return base
-
-
 async def _check_overlaps(
     documents: dict[str, Document], head: Head, reader: DocumentReader
 ) -> None:
@@ -400,8 +311,8 @@
         entries = dict(head["entries"])
         change["versions"] = {}
         for service, document in changed.items():
-            _check_base(document, entries.get(service))
-            entry = _next_entry(document, entries.get(service), change, epoch)
+            check_base(document, entries.get(service))
+            entry = next_entry(document, entries.get(service), change, epoch)
             entries[service] = entry
             change["versions"][service] = entry["version"]
         await _check_overlaps(changed, head, reader)
