--- a/bench/control.py
+++ b/bench/control.py
@@ -13,7 +13,7 @@
 from guavagap.addresses import Address
 from guavagap.commits import apply_documents
 from guavagap.documents import parse_document
-from guavagap.platform_http import open_platform
+from guavagap.platform.store import open_key_value_store
 from standins.fleet import Fleet, open_fleet
 
 __all__ = ["run"]
@@ -114,7 +114,7 @@
     text = text.replace("edited_from = 0", f"edited_from = {number}")
     text = text.replace("timeout_s = 2.0", f"timeout_s = {2 + number / 100}")
     document = parse_document(text, "catalogue.toml").ok
-    async with open_platform(Address("127.0.0.1", port)) as platform:
+    async with open_key_value_store(Address("127.0.0.1", port)) as platform:
         commit = await apply_documents(platform, [document], "bench", "")
     return commit.epoch, time.time()
 
--- a/guavagap/admin.py
+++ b/guavagap/admin.py
@@ -34,23 +34,6 @@
     ]
 
 
-def _services_status(node) -> dict[str, dict]:
-    services = {}
-    for service, entry in node.configuration.head["entries"].items():
-        if entry["is_deleted"]:
-            continue
-        state = node.configuration.snapshot.services.get(service)
-        rejection = node.configuration.rejections.get(service)
-        services[service] = {
-            "accepted_version": entry["version"],
-            "applied_version": 0 if state is None else state.version,
-            "stable_version": entry["stable_version"],
-            "rollout": entry["rollout"],
-            "rejection": None if rejection is None else rejection._asdict(),
-        }
-    return services
-
-
 def _pools_status(node) -> dict[str, list[dict]]:
     pools: dict[str, list[dict]] = {}
     for target in node.directory.all_targets():
@@ -89,7 +72,7 @@
         "epoch": node.configuration.epoch,
         "head_digest": node.configuration.head_digest,
         "platform_epoch": node.relay.platform_epoch,
-        "services": _services_status(node),
+        "services": node.configuration.describe_services(),
         "pools": _pools_status(node),
         "members": _members_status(node),
         "notices": [notice._asdict() for notice in node.notices.all()],
--- a/guavagap/announcements.py
+++ b/guavagap/announcements.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from typing import Annotated
+from typing import Annotated, NamedTuple
 
 from expression import Error, Ok, Result
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
@@ -15,7 +15,13 @@
 from guavagap.documents import Name, VersionName
 from guavagap.messages import BackendServer
 
-__all__ = ["Announcement", "AnnouncementRegistry", "decode_announcement"]
+__all__ = [
+    "DEFAULT_POOL",
+    "Announcement",
+    "AnnouncementRegistry",
+    "ServerReport",
+    "decode_announcement",
+]
 
 DEFAULT_POOL = "main"
 DEFAULT_TTL_S = 15.0
@@ -43,6 +49,26 @@
     ttl_s: NotRequired[Annotated[float, Field(gt=0, le=3600)]]
 
 
+class ServerReport(NamedTuple):
+    """What a backend server reports of itself where reports may come late.
+
+    Attributes:
+        born_ms: wall clock of its start; the same identifier may start again.
+        sequence: rises with each report of one start.
+        cold_s: how much longer it is slow after its start.
+    """
+
+    server_id: str
+    service: str
+    version: str
+    address: str
+    slots: int
+    is_draining: bool
+    cold_s: float
+    born_ms: int
+    sequence: int
+
+
 _ADAPTER = TypeAdapter(Announcement)
 
 
@@ -73,6 +99,43 @@
         self._clock = clock
         self._servers: dict[str, BackendServer] = {}
         self._expires_at: dict[str, float] = {}
+        self._reports: dict[str, ServerReport] = {}
+
+    def report(self, report: ServerReport, ttl_s: float) -> bool:
+        """Take a report unless a later one of the same address was taken before.
+
+        Returns:
+            False when the report is out of date.
+        """
+        order = (report.born_ms, report.sequence)
+        for held in list(self._reports.values()):
+            if held.address != report.address and held.server_id != report.server_id:
+                continue
+            is_same = held.server_id == report.server_id
+            held_order = (held.born_ms, held.sequence)
+            if held_order > order if is_same else held.born_ms > report.born_ms:
+                return False
+            if not is_same:
+                self._forget(held.server_id)
+        self._reports[report.server_id] = report
+        self._servers[report.server_id] = BackendServer(
+            report.server_id,
+            report.service,
+            report.version,
+            DEFAULT_POOL,
+            report.address,
+            report.slots,
+            report.slots,
+            report.is_draining,
+        )
+        retention_s = DRAINED_RETENTION_S if report.is_draining else ttl_s
+        self._expires_at[report.server_id] = self._clock() + retention_s
+        return True
+
+    def _forget(self, server_id: str) -> None:
+        self._servers.pop(server_id, None)
+        self._expires_at.pop(server_id, None)
+        self._reports.pop(server_id, None)
 
     def announce(self, server_id: str, announcement: Announcement) -> BackendServer:
         """Take or renew an announcement; a renewal ends an earlier leaving."""
@@ -109,8 +172,7 @@
         now_s = self._clock()
         for server_id, expires_at_s in list(self._expires_at.items()):
             if expires_at_s <= now_s:
-                del self._servers[server_id]
-                del self._expires_at[server_id]
+                self._forget(server_id)
         return tuple(self._servers.values())
 
     def get(self, server_id: str) -> BackendServer | None:
--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -5,19 +5,21 @@
 import h11
 
 from guavagap.addresses import Address
+from guavagap.dialect import NATIVE_DIALECT, Dialect
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.exchange import AnswerHead, ForwardedRequest, Upstream
 from guavagap.http1 import (
     Http1Connection,
     connect_http1,
     end_to_end_headers,
+    header_value,
     validated_headers,
 )
 
 __all__ = ["BackendConnectionPool", "BackendExchange", "CONNECT_TIMEOUT_S"]
 
 CONNECT_TIMEOUT_S = 1.0
-TIMEOUT_HEADER = b"guavagap-timeout-ms"
+MAX_STALE_ANSWERS = 2
 _CHUNKED = (b"transfer-encoding", b"chunked")
 
 
@@ -60,8 +62,12 @@
             raise
 
     async def give_back(self, connection: Http1Connection, is_wanted: bool) -> None:
-        """Keep a connection whose exchange is complete, or close it."""
-        if is_wanted and connection.start_next_cycle():
+        """Keep a connection whose exchange is complete, or close it.
+
+        Bytes beyond the answer belong to no request, so nothing may follow them.
+        """
+        has_extra = bool(connection.h11.trailing_data[0])
+        if is_wanted and not has_extra and connection.start_next_cycle():
             self._idle.append(connection)
             return
         await self.discard(connection)
@@ -84,27 +90,41 @@
         connection: taken from ``pool`` for this exchange.
         pool: gets the connection back.
         is_wanted: returns whether the connection may be kept afterwards.
+        server_id: the backend server that should run it.
+        dialect: headers of the backend server.
     """
 
     def __init__(
-        self, connection: Http1Connection, pool: BackendConnectionPool, is_wanted
+        self,
+        connection: Http1Connection,
+        pool: BackendConnectionPool,
+        is_wanted,
+        server_id: str,
+        dialect: Dialect = NATIVE_DIALECT,
     ):
         self._connection = connection
         self._pool = pool
         self._is_wanted = is_wanted
+        self._server_id = server_id
+        self._dialect = dialect
+        self._head: h11.Request | None = None
 
     async def send_request(self, request: ForwardedRequest, chunks, is_complete):
-        timeout_ms = max(0, int((request.deadline_s - time.monotonic()) * 1000))
-        headers = [*request.headers, (TIMEOUT_HEADER, b"%d" % timeout_ms)]
+        timeout_ms = int((request.deadline_s - time.monotonic()) * 1000)
+        if timeout_ms <= 0:
+            raise GuavagapError(ErrorKind.DEADLINE_BEFORE_RUN, "no time is left")
+        headers = [*request.headers, (self._dialect.timeout, b"%d" % timeout_ms)]
+        if self._dialect.expected_server:
+            expected = (self._dialect.expected_server, self._server_id.encode())
+            headers.append(expected)
         if request.has_body and request.content_length_bytes is None:
             headers.append(_CHUNKED)
-        events = [
-            h11.Request(
-                method=request.method,
-                target=request.target,
-                headers=validated_headers(headers),
-            )
-        ]
+        self._head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=validated_headers(headers),
+        )
+        events = [self._head]
         events += [h11.Data(data=chunk) for chunk in chunks]
         if is_complete:
             events.append(h11.EndOfMessage())
@@ -131,14 +151,53 @@
         return not self._connection.is_silent()
 
     async def read_answer(self):
+        event = await self._read_response()
+        for _ in range(MAX_STALE_ANSWERS):
+            if self._is_own(event):
+                break
+            await self._skip_stale_answer()
+            event = await self._read_response()
+        headers = list(event.headers)
+        if not self._is_own(event):
+            raise GuavagapError(
+                ErrorKind.BACKEND_SERVER_PROTOCOL, "answers of other requests"
+            )
+        if self._dialect.is_refusal(event.status_code, headers):
+            raise GuavagapError(
+                ErrorKind.REFUSED_BY_BACKEND_SERVER, f"status {event.status_code}"
+            )
+        is_chunked = header_value(headers, b"transfer-encoding") is not None
+        chunks, is_complete = self._split(self._buffered_events())
+        headers = end_to_end_headers(headers)
+        return AnswerHead(
+            event.status_code, headers, chunks, is_complete, is_chunked=is_chunked
+        )
+
+    async def _read_response(self) -> h11.Response:
         event = await self._next_event()
         while type(event) is h11.InformationalResponse:
             event = await self._next_event()
         if type(event) is not h11.Response:
             raise self._lost("closed without an answer")
-        chunks, is_complete = self._split(self._buffered_events())
-        headers = end_to_end_headers(list(event.headers))
-        return AnswerHead(event.status_code, headers, chunks, is_complete)
+        return event
+
+    def _is_own(self, response: h11.Response) -> bool:
+        """Return whether an answer belongs to the request that was sent."""
+        if not self._dialect.is_id_echoed:
+            return True
+        name = self._dialect.request_id
+        echoed = header_value(list(response.headers), name)
+        own = header_value(list(self._head.headers), name)
+        return echoed is None or own is None or echoed == own
+
+    async def _skip_stale_answer(self) -> None:
+        """Read an answer that came too late for an earlier request to its end."""
+        event = await self._next_event()
+        while type(event) is h11.Data:
+            event = await self._next_event()
+        if type(event) is not h11.EndOfMessage:
+            raise self._lost("closed in an answer of another request")
+        self._connection.restart_answer(self._head)
 
     async def read_chunks(self):
         event = await self._next_event()
--- a/guavagap/caller_connections.py
+++ b/guavagap/caller_connections.py
@@ -119,10 +119,12 @@
 
     async def send_answer(self, answer: AnswerHead):
         extra = self._extra_headers
+        names = {name for name, _ in extra}
         if not self.is_body_ended:
             # The rest of the request is never read, so nothing can follow it.
             extra = [*extra, (b"connection", b"close")]
-        headers = validated_headers(answer.headers + extra)
+        passed = [header for header in answer.headers if header[0] not in names]
+        headers = validated_headers(passed + extra)
         events = [h11.Response(status_code=answer.status, headers=headers)]
         events += self._body_events(answer.chunks, answer.is_complete)
         self.is_answer_started = True
--- a/guavagap/caller_errors.py
+++ b/guavagap/caller_errors.py
@@ -3,8 +3,8 @@
 import curio
 import h11
 
+from guavagap.dialect import Dialect
 from guavagap.errors import GuavagapError, answer_for
-from guavagap.exchange import RUN_HEADER, RUN_NOT_RUN, RUN_UNKNOWN
 from guavagap.http1 import Http1Connection
 
 __all__ = ["linger", "send_error"]
@@ -19,6 +19,8 @@
     error: GuavagapError,
     request_id: bytes,
     is_closing: bool,
+    dialect: Dialect,
+    retry_after_s: float,
 ) -> None:
     """Send the answer of an error, if none has been started.
 
@@ -27,6 +29,8 @@
         error: decides status and whether the request is said not to have run.
         request_id: repeated to the caller.
         is_closing: whether to announce the end of the connection.
+        dialect: status and headers of the answer.
+        retry_after_s: when a refused request may come back.
     """
     if connection.h11.our_state not in (h11.SEND_RESPONSE, h11.IDLE):
         return
@@ -35,13 +39,13 @@
     headers = [
         (b"content-type", b"text/plain; charset=utf-8"),
         (b"content-length", b"%d" % len(body)),
-        (RUN_HEADER, RUN_NOT_RUN if answer.is_not_run else RUN_UNKNOWN),
         (b"guavagap-error", error.kind.value.encode()),
-        (b"x-request-id", request_id),
+        (dialect.request_id, request_id),
     ]
+    headers += dialect.error_headers(answer.is_not_run, retry_after_s)
     if is_closing:
         headers.append((b"connection", b"close"))
-    response = h11.Response(status_code=answer.status, headers=headers)
+    response = h11.Response(status_code=dialect.status_of(error.kind), headers=headers)
     await connection.send(response, h11.Data(data=body), h11.EndOfMessage())
 
 
--- a/guavagap/cli.py
+++ b/guavagap/cli.py
@@ -22,7 +22,7 @@
     GuavagapError,
     answer_for,
 )
-from guavagap.platform_http import open_platform
+from guavagap.platform.store import open_key_value_store
 from guavagap.settings import parse_platform_url
 
 __all__ = ["main", "run"]
@@ -58,7 +58,7 @@
 
 
 async def _with_platform(address: Address, function, args):
-    async with open_platform(address) as platform:
+    async with open_key_value_store(address) as platform:
         return await function(platform, *args)
 
 
--- a/guavagap/commits.py
+++ b/guavagap/commits.py
@@ -32,7 +32,7 @@
     decode_head,
     encode_head,
 )
-from guavagap.platform import ABSENT, Platform
+from guavagap.key_value import ABSENT, KeyValueStore
 
 __all__ = [
     "Commit",
@@ -83,7 +83,7 @@
     return f"audit/{epoch:010d}"
 
 
-async def read_head(platform: Platform) -> tuple[Head, str]:
+async def read_head(platform: KeyValueStore) -> tuple[Head, str]:
     """Return the head and its revision; an empty head when there is none."""
     value = await platform.get(HEAD_KEY)
     if value is None:
@@ -91,7 +91,7 @@
     return decode_head(value.body), value.revision
 
 
-async def read_body(platform: Platform, service: str, digest: str) -> bytes:
+async def read_body(platform: KeyValueStore, service: str, digest: str) -> bytes:
     """Return a document body.
 
     Raises:
@@ -111,7 +111,7 @@
 class DocumentReader:
     """Reads accepted documents and remembers them by digest."""
 
-    def __init__(self, platform: Platform):
+    def __init__(self, platform: KeyValueStore):
         self._platform = platform
         self._documents: dict[str, Document] = {}
 
@@ -150,7 +150,7 @@
     }
 
 
-async def _write_audit(platform: Platform, change: Change | None) -> None:
+async def _write_audit(platform: KeyValueStore, change: Change | None) -> None:
     """Write an audit record unless it is there already."""
     if change is None:
         return
@@ -162,14 +162,14 @@
             raise
 
 
-async def read_audit(platform: Platform, epoch: int) -> Change | None:
+async def read_audit(platform: KeyValueStore, epoch: int) -> Change | None:
     """Return the audit record of an epoch."""
     value = await platform.get(audit_key(epoch))
     return None if value is None else _CHANGE_ADAPTER.validate_json(value.body)
 
 
 async def _find_own_change(
-    platform: Platform, change: Change, since_epoch: int
+    platform: KeyValueStore, change: Change, since_epoch: int
 ) -> int | None:
     """Return the epoch under which a change was accepted, if it was."""
     head, _ = await read_head(platform)
@@ -188,7 +188,7 @@
     return random.uniform(0, min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**attempt))
 
 
-async def swap_head(platform: Platform, change: Change, edit: HeadEdit) -> Commit:
+async def swap_head(platform: KeyValueStore, change: Change, edit: HeadEdit) -> Commit:
     """Edit the head by compare-and-swap until it succeeds.
 
     Args:
@@ -233,7 +233,7 @@
     )
 
 
-async def _wait_for_platform(platform: Platform, change: Change) -> None:
+async def _wait_for_platform(platform: KeyValueStore, change: Change) -> None:
     """Return when the platform answers again.
 
     Raises:
@@ -249,7 +249,9 @@
         ) from None
 
 
-async def _record_commit(platform: Platform, change: Change, attempts: int) -> Commit:
+async def _record_commit(
+    platform: KeyValueStore, change: Change, attempts: int
+) -> Commit:
     try:
         await _write_audit(platform, change)
     except GuavagapError:
@@ -286,7 +288,7 @@
 
 
 async def apply_documents(
-    platform: Platform, documents: list[Document], author: str, message: str
+    platform: KeyValueStore, documents: list[Document], author: str, message: str
 ) -> Commit:
     """Commit documents: all of them or none.
 
@@ -328,7 +330,9 @@
     return digest_of(encode_document(document)) == entry["digest"]
 
 
-async def _write_bodies(platform: Platform, documents: dict[str, Document]) -> None:
+async def _write_bodies(
+    platform: KeyValueStore, documents: dict[str, Document]
+) -> None:
     for service, document in documents.items():
         body = encode_document(document)
         try:
@@ -339,7 +343,7 @@
 
 
 async def delete_service(
-    platform: Platform, service: str, author: str, message: str
+    platform: KeyValueStore, service: str, author: str, message: str
 ) -> Commit:
     """Commit the withdrawal of a service and its routes.
 
@@ -371,7 +375,7 @@
     return await swap_head(platform, change, edit)
 
 
-async def raise_epoch(platform: Platform, above_epoch: int, author: str) -> Commit:
+async def raise_epoch(platform: KeyValueStore, above_epoch: int, author: str) -> Commit:
     """Move a head that went back in time past every epoch that nodes hold.
 
     Every entry is stamped with the new epoch, so each node takes all of them.
--- a/guavagap/configuration.py
+++ b/guavagap/configuration.py
@@ -19,8 +19,10 @@
     Delta,
     Entry,
     Head,
+    decode_delta,
     delta_between,
     digest_of_head,
+    encode_delta,
     merge_delta,
 )
 from guavagap.logs import get_logger
@@ -69,6 +71,14 @@
         """Return the delta that brings another node to this epoch."""
         return delta_between(self.head, self.bodies, base_epoch)
 
+    def encode_delta(self, delta: Delta) -> bytes:
+        """Return a delta as bytes for another node."""
+        return encode_delta(delta)
+
+    def decode_delta(self, raw: bytes) -> Delta:
+        """Return a delta of another node; raises FRAME_INVALID."""
+        return decode_delta(raw)
+
     def has_body(self, digest: str) -> bool:
         """Return whether a document body is held."""
         return digest in self.bodies
@@ -150,11 +160,29 @@
         }
         routes = [
             route
-            for routes_of_host in self.snapshot.routes_by_host.values()
-            for route in routes_of_host
+            for by_prefix in self.snapshot.routes_by_host.values()
+            for routes_of_prefix in by_prefix.values()
+            for route in routes_of_prefix
         ]
         return sum((r.pool.service, r.pool.name) not in pools for r in routes)
 
+    def describe_services(self) -> dict[str, dict]:
+        """Return the state of each service as plain JSON values."""
+        services = {}
+        for service, entry in self.head["entries"].items():
+            if entry["is_deleted"]:
+                continue
+            state = self.snapshot.services.get(service)
+            rejection = self.rejections.get(service)
+            services[service] = {
+                "accepted_version": entry["version"],
+                "applied_version": 0 if state is None else state.version,
+                "stable_version": entry["stable_version"],
+                "rollout": entry["rollout"],
+                "rejection": None if rejection is None else rejection._asdict(),
+            }
+        return services
+
     def _log_applied(self) -> None:
         log.info(
             "configuration applied",
--- a/guavagap/daemon.py
+++ b/guavagap/daemon.py
@@ -73,6 +73,7 @@
     await scope.spawn_role(node.run_housekeeping)
     await scope.spawn_role(node.proxy.watch.run)
     await scope.spawn_role(node.evaluator.run)
+    await node.deployment.start(node)
     await scope.spawn(node.learn)
     return await scope.spawn_role(
         accept_connections, caller_listener, scope, node.proxy.serve
@@ -84,6 +85,7 @@
     node.is_draining = True
     deadline_s = time.monotonic() + node.settings.drain_timeout_s
     await node.leave()
+    await curio.sleep(node.deployment.accept_after_stop_s)
     await acceptor.cancel()
     # Callers with kept connections learn from their next answer that it ends.
     await curio.sleep(min(DRAIN_GRACE_S, node.settings.drain_timeout_s))
--- /dev/null
+++ b/guavagap/declared_configuration.py
@@ -0,0 +1,216 @@
+"""Configuration declared by an operator's system, held as a mirror of its keys.
+
+The epoch is the highest revision mirrored. A declaration is compiled whole or
+refused whole, and one with a lower version than that in force is never taken.
+"""
+
+import hashlib
+from typing import Callable
+
+from guavagap.configuration import Rejection
+from guavagap.declarations import (
+    DEFAULT_CALLER_LIMITS,
+    CallerLimits,
+    Declaration,
+    RolloutOrder,
+    check_declaration,
+)
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.logs import get_logger
+from guavagap.metadata_store import (
+    MirrorDelta,
+    MirrorItem,
+    decode_mirror_delta,
+    encode_mirror_delta,
+)
+from guavagap.rollout_records import RolloutRecord, decode_record, service_of_record
+from guavagap.snapshot import (
+    EMPTY_SNAPSHOT,
+    ServiceState,
+    Snapshot,
+    build_declared_snapshot,
+)
+
+__all__ = ["DeclaredConfiguration"]
+
+log = get_logger()
+
+ItemDecoder = Callable[[MirrorItem], Declaration | RolloutOrder | None]
+
+
+class DeclaredConfiguration:
+    """The mirrored keys of one node and the snapshot built from them.
+
+    Args:
+        is_mirrored: whether a key belongs to the mirror.
+        decode_item: decodes an item of the operator, None for other items.
+
+    Attributes:
+        declaration: the declaration in force.
+        orders: rollout orders with their revision, by service.
+        records: rollout records by service.
+        snapshot: what requests are routed by.
+        rejections: by key, of items that were refused.
+    """
+
+    def __init__(self, is_mirrored: Callable[[str], bool], decode_item: ItemDecoder):
+        self.epoch = 0
+        self.declaration: Declaration | None = None
+        self.orders: dict[str, tuple[int, RolloutOrder]] = {}
+        self.records: dict[str, RolloutRecord] = {}
+        self.snapshot: Snapshot = EMPTY_SNAPSHOT
+        self.rejections: dict[str, Rejection] = {}
+        self._is_mirrored = is_mirrored
+        self._decode_item = decode_item
+        self._items: dict[str, MirrorItem] = {}
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether requests can be routed."""
+        return self.declaration is not None
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What callers may send."""
+        if self.declaration is None:
+            return DEFAULT_CALLER_LIMITS
+        return self.declaration.limits
+
+    @property
+    def head_digest(self) -> str:
+        """Digest of the keys and revisions held."""
+        rows = sorted((item.key, item.revision) for item in self._items.values())
+        return hashlib.blake2b(repr(rows).encode(), digest_size=16).hexdigest()
+
+    def delta_since(self, base_epoch: int) -> MirrorDelta:
+        """Return the delta that brings another node to this epoch."""
+        items = [item for item in self._items.values() if item.revision > base_epoch]
+        return MirrorDelta(base_epoch, self.epoch, tuple(items))
+
+    def encode_delta(self, delta: MirrorDelta) -> bytes:
+        """Return a delta as bytes for another node."""
+        return encode_mirror_delta(delta)
+
+    def decode_delta(self, raw: bytes) -> MirrorDelta:
+        """Return a delta of another node; raises FRAME_INVALID."""
+        return decode_mirror_delta(raw)
+
+    def make_delta(self, items: list[MirrorItem]) -> MirrorDelta | None:
+        """Return the step that some items of the store make, None without news."""
+        news = tuple(item for item in items if self._is_news(item))
+        if not news:
+            return None
+        epoch = max(self.epoch, *(item.revision for item in news))
+        return MirrorDelta(self.epoch, epoch, news)
+
+    def _is_news(self, item: MirrorItem) -> bool:
+        if not self._is_mirrored(item.key):
+            return False
+        held = self._items.get(item.key)
+        return held is None or held.revision < item.revision
+
+    def apply(self, delta: MirrorDelta) -> bool:
+        """Merge a delta; return False when it brings nothing new."""
+        news = [item for item in delta.items if self._is_news(item)]
+        if not news:
+            return False
+        for item in news:
+            self._items[item.key] = item
+            self._take(item)
+        self.epoch = max(self.epoch, delta.epoch)
+        self._rebuild()
+        log.info(
+            "configuration applied",
+            epoch=self.epoch,
+            version=0 if self.declaration is None else self.declaration.version,
+            keys=",".join(item.key for item in news),
+            routes=0 if self.declaration is None else len(self.declaration.routes),
+            rejected=len(self.rejections),
+        )
+        return True
+
+    def _take(self, item: MirrorItem) -> None:
+        try:
+            self._take_checked(item)
+            self.rejections.pop(item.key, None)
+        except GuavagapError as error:
+            rejection = Rejection(item.key, 0, item.revision, error.detail)
+            self.rejections[item.key] = rejection
+            log.error("configuration rejected", **rejection._asdict())
+
+    def _take_checked(self, item: MirrorItem) -> None:
+        service = service_of_record(item.key)
+        if service is not None:
+            self._take_record(service, item)
+            return
+        value = self._decode_item(item)
+        if isinstance(value, Declaration):
+            self._take_declaration(value)
+        elif isinstance(value, RolloutOrder):
+            self.orders[value.service] = (item.revision, value)
+
+    def _take_record(self, service: str, item: MirrorItem) -> None:
+        if item.body is None:
+            self.records.pop(service, None)
+            return
+        self.records[service] = decode_record(item.body)
+
+    def _take_declaration(self, declaration: Declaration) -> None:
+        held = self.declaration
+        if held is not None and declaration.version < held.version:
+            raise GuavagapError(
+                ErrorKind.CONFIGURATION_REJECTED,
+                f"version {declaration.version} is older than {held.version}",
+            )
+        check_declaration(declaration)
+        self.declaration = declaration
+
+    def revision_of(self, key: str) -> int:
+        """Return the revision of a mirrored key, 0 without one."""
+        item = self._items.get(key)
+        return 0 if item is None or item.body is None else item.revision
+
+    def _rebuild(self) -> None:
+        if self.declaration is None:
+            return
+        states = {
+            service: self._state_of(service)
+            for service in self.declaration.connection_limits
+        }
+        self.snapshot = build_declared_snapshot(self.epoch, self.declaration, states)
+
+    def _state_of(self, service: str) -> ServiceState:
+        """Return the versions that a service's requests may go to."""
+        version = self.declaration.version
+        order = self.orders.get(service)
+        record = self.records.get(service)
+        refused = frozenset(record.rolled_back_versions if record else ())
+        stable = record.stable_version if record else ""
+        if order is None:
+            return ServiceState(service, version, self.epoch, stable, "", 0, refused)
+        to_version = order[1].to_version
+        if record is None or record.order_revision < order[0]:
+            # Nobody has begun it yet: the new version must wait.
+            return ServiceState(
+                service, version, self.epoch, stable, to_version, 0, refused
+            )
+        if record.rollout["state"] == "running":
+            weight = record.rollout["weight_permille"]
+            return ServiceState(
+                service, version, self.epoch, stable, to_version, weight, refused
+            )
+        return ServiceState(service, version, self.epoch, stable, "", 0, refused)
+
+    def describe_services(self) -> dict[str, dict]:
+        """Return the state of each service as plain JSON values."""
+        services = {}
+        for service, state in self.snapshot.services.items():
+            record = self.records.get(service)
+            services[service] = {
+                "accepted_version": state.version,
+                "applied_version": state.version,
+                "stable_version": state.stable_version,
+                "rollout": None if record is None else dict(record.rollout),
+                "rejection": None,
+            }
+        return services
--- /dev/null
+++ b/guavagap/deployments.py
@@ -0,0 +1,28 @@
+"""Opens the deployment that the settings name."""
+
+from contextlib import asynccontextmanager
+
+from guavagap.documents_deployment import DocumentsDeployment
+from guavagap.faults import BlockedAddresses
+from guavagap.operator_deployment import OperatorDeployment, learn_mesh_key
+from guavagap.platform.adapter import open_adapter
+from guavagap.platform.store import open_key_value_store
+from guavagap.settings import OPERATOR_DEPLOYMENT, Settings
+
+__all__ = ["open_deployment"]
+
+
+@asynccontextmanager
+async def open_deployment(settings: Settings, blocked: BlockedAddresses):
+    """Yield a :class:`guavagap.deployment.Deployment`.
+
+    Waits for the mesh's key where that comes from the platform's store.
+    """
+    address = settings.platform_address
+    if settings.deployment == OPERATOR_DEPLOYMENT:
+        async with open_adapter(address, blocked) as adapter:
+            key_bytes = await learn_mesh_key(adapter.store)
+            yield OperatorDeployment(settings, adapter, key_bytes)
+        return
+    async with open_key_value_store(address, blocked=blocked) as platform:
+        yield DocumentsDeployment(settings, platform)
--- /dev/null
+++ b/guavagap/dialect.py
@@ -0,0 +1,95 @@
+"""Headers and conventions between callers, nodes and backend servers.
+
+The product has its own; a platform's adapter brings another set.
+"""
+
+from typing import Callable, NamedTuple
+
+from guavagap.errors import ErrorKind, answer_for
+
+__all__ = [
+    "Dialect",
+    "NATIVE_DIALECT",
+    "RUN_HEADER",
+    "RUN_NOT_RUN",
+    "RUN_UNKNOWN",
+]
+
+RUN_HEADER = b"guavagap-run"
+RUN_NOT_RUN = b"not-run"
+RUN_UNKNOWN = b"unknown"
+REFUSAL_STATUS = 503
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Dialect(NamedTuple):
+    """Names of headers, empty where there is none, and how answers are read.
+
+    Attributes:
+        timeout: request header with the milliseconds that are left.
+        request_id: identifies a request; repeated in answers.
+        is_id_echoed: whether backend servers repeat the request's identifier.
+        retry_mark: marks a repeated request for layers below.
+        caller: request header that names the service a request comes from.
+        expected_server: request header that names the only backend server that
+            may run the request.
+        via: headers added to requests and answers that pass.
+        read_load: returns the requests in a backend server, by its answer's
+            headers, or None.
+        is_refusal: whether an answer says that the request was not run.
+        status_of: returns the status of an answer of our own.
+        error_headers: returns headers of an answer of our own, from whether the
+            request is known not to have run, and seconds until a retry may help.
+    """
+
+    timeout: bytes
+    request_id: bytes
+    is_id_echoed: bool
+    retry_mark: bytes
+    caller: bytes
+    expected_server: bytes
+    via: tuple[tuple[bytes, bytes], ...]
+    read_load: Callable[[Headers], int | None]
+    is_refusal: Callable[[int, Headers], bool]
+    status_of: Callable[[ErrorKind], int]
+    error_headers: Callable[[bool, float | None], Headers]
+
+    def owned_headers(self) -> frozenset[bytes]:
+        """Return the request headers that nodes set and callers may not."""
+        names = (self.timeout, self.request_id, self.caller, self.expected_server)
+        return frozenset(name for name in (*names, b"expect") if name)
+
+
+def _read_native_load(headers: Headers) -> int | None:
+    for name, value in headers:
+        if name == b"guavagap-load" and value.isdigit():
+            return int(value)
+    return None
+
+
+def _is_native_refusal(status: int, headers: Headers) -> bool:
+    return status == REFUSAL_STATUS and (RUN_HEADER, RUN_NOT_RUN) in headers
+
+
+def _native_status(kind: ErrorKind) -> int:
+    return answer_for(kind).status
+
+
+def _native_error_headers(is_not_run: bool, retry_after_s: float | None) -> Headers:
+    return [(RUN_HEADER, RUN_NOT_RUN if is_not_run else RUN_UNKNOWN)]
+
+
+NATIVE_DIALECT = Dialect(
+    timeout=b"guavagap-timeout-ms",
+    request_id=b"x-request-id",
+    is_id_echoed=False,
+    retry_mark=b"guavagap-retry",
+    caller=b"",
+    expected_server=b"",
+    via=((b"via", b"1.1 guavagap"),),
+    read_load=_read_native_load,
+    is_refusal=_is_native_refusal,
+    status_of=_native_status,
+    error_headers=_native_error_headers,
+)
--- a/guavagap/direct.py
+++ b/guavagap/direct.py
@@ -89,7 +89,9 @@
         connection = await pool.take()
         if connection is None:
             return None
-        return BackendExchange(connection, pool.connections, pool.may_keep)
+        return BackendExchange(
+            connection, pool.connections, pool.may_keep, target.server.server_id
+        )
 
     async def revoke(self, server_id: str) -> None:
         """Stop using the permit for a backend server at once."""
--- a/guavagap/directory.py
+++ b/guavagap/directory.py
@@ -115,6 +115,7 @@
         self._built_at_s = float("-inf")
         self._targets: dict[tuple[str, str, str], tuple[Target, ...]] = {}
         self._by_id: dict[str, Target] = {}
+        self._version_counts: dict[tuple[str, str], dict[str, int]] = {}
         self._health: dict[str, ServerHealth] = {}
         self._is_first_build = True
 
@@ -123,6 +124,11 @@
         self.refresh()
         return self._targets.get((service, pool, version), ())
 
+    def version_counts(self, service: str, pool: str) -> dict[str, int]:
+        """Return how many targets each version of a pool has."""
+        self.refresh()
+        return self._version_counts.get((service, pool), {})
+
     def all_targets(self) -> list[Target]:
         """Return every target."""
         self.refresh()
@@ -155,6 +161,10 @@
                 targets.setdefault(key, []).append(target)
         self._targets = {key: tuple(value) for key, value in targets.items()}
         self._by_id = by_id
+        self._version_counts = {}
+        for (service, pool, version), found in self._targets.items():
+            versions = self._version_counts.setdefault((service, pool), {})
+            versions[version] = len(found)
         self._health = {
             key: value for key, value in self._health.items() if key in by_id
         }
--- a/guavagap/dissemination.py
+++ b/guavagap/dissemination.py
@@ -7,6 +7,7 @@
 """
 
 import random
+import time
 import zlib
 from collections import Counter
 
@@ -15,7 +16,7 @@
 from guavagap.backoff import Backoff
 from guavagap.configuration import Configuration
 from guavagap.errors import ErrorKind, GuavagapError
-from guavagap.head import Delta, decode_delta, encode_delta
+from guavagap.head import Delta
 from guavagap.links import LinkPool
 from guavagap.logs import get_logger
 from guavagap.members import MemberTable
@@ -70,6 +71,7 @@
         highest_epoch_seen: the highest epoch that any node has shown.
         split_epochs: epochs that another node holds with other content.
         counts: applied and served deltas by way.
+        fed_at_s: monotonic time of the latest push or beacon of a feeder.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         self.highest_epoch_seen = 0
         self.split_epochs: set[int] = set()
         self.counts: Counter[str] = Counter()
+        self.fed_at_s = float("-inf")
         self._configuration = configuration
         self._table = table
         self._links = links
@@ -133,7 +136,8 @@
             return None
 
     async def _take_reply(self, reply: DeltaReply) -> None:
-        delta = unpack_delta(reply.compressed, reply.raw_bytes)
+        raw = decompress_delta(reply.compressed, reply.raw_bytes)
+        delta = self._configuration.decode_delta(raw)
         if not self._configuration.apply(delta):
             return
         self.counts["fetched"] += 1
@@ -149,6 +153,19 @@
             self._table.own.node_id,
         )
 
+    async def push_beacon(self) -> None:
+        """Tell the own failure domain that this node is up to date."""
+        own_id, epoch = self._table.own.node_id, self._configuration.epoch
+        message = DeltaPush(b"", 0, own_id, epoch, epoch)
+        for node_id in self._children(own_id, epoch):
+            await self._scope.spawn(self._push_one, node_id, message)
+
+    async def _on_beacon(self, sender_id: str, message: DeltaPush) -> None:
+        for node_id in self._children(message.root_id, message.epoch):
+            await self._scope.spawn(self._push_one, node_id, message)
+        if message.epoch > self._configuration.epoch:
+            await self.on_epoch_seen(sender_id, message.epoch, 0)
+
     def _children(self, root_id: str, epoch: int) -> list[str]:
         own = self._table.own
         members = self._table.alive_in_domain(own.failure_domain)
@@ -156,7 +173,7 @@
         return push_children(root_id, own.node_id, epoch, member_ids)
 
     async def _push_to(self, node_ids: list[str], delta: Delta, root_id: str) -> None:
-        raw = encode_delta(delta)
+        raw = self._configuration.encode_delta(delta)
         compressed = zlib.compress(raw, COMPRESSION_LEVEL)
         message = DeltaPush(
             compressed, len(raw), root_id, delta.base_epoch, delta.epoch
@@ -175,10 +192,16 @@
 
     async def on_push(self, sender_id: str, message: DeltaPush) -> None:
         """Apply a pushed delta and pass it on."""
+        if message.root_id:
+            self.fed_at_s = time.monotonic()
+        if not message.raw_bytes:
+            await self._on_beacon(sender_id, message)
+            return
         if message.epoch <= self._configuration.epoch:
             self.counts["push_duplicate"] += 1
             return
-        delta = unpack_delta(message.compressed, message.raw_bytes)
+        raw = decompress_delta(message.compressed, message.raw_bytes)
+        delta = self._configuration.decode_delta(raw)
         if delta.base_epoch not in (0, self._configuration.epoch):
             self.counts["push_gap"] += 1
             await self.on_epoch_seen(sender_id, delta.epoch, 0)
@@ -197,7 +220,7 @@
     async def serve(self, request: DeltaRequest) -> DeltaReply:
         """Answer a request, or name other nodes when too many are served."""
         delta = self._configuration.delta_since(request.base_epoch)
-        raw = encode_delta(delta)
+        raw = self._configuration.encode_delta(delta)
         is_large = len(raw) > LARGE_DELTA_BYTES
         if is_large and self._large_served >= MAX_LARGE_DELTAS_SERVED:
             self.counts["busy"] += 1
@@ -230,8 +253,8 @@
         return tuple(random.sample(near, min(MAX_REDIRECTS, len(near))))
 
 
-def unpack_delta(compressed: bytes, raw_bytes: int) -> Delta:
-    """Return a delta from its compressed form.
+def decompress_delta(compressed: bytes, raw_bytes: int) -> bytes:
+    """Return the bytes of a delta from their compressed form.
 
     Raises:
         GuavagapError: FRAME_INVALID, also when it is larger than declared.
@@ -244,4 +267,4 @@
         raise GuavagapError(ErrorKind.FRAME_INVALID, str(error)) from None
     if len(raw) != raw_bytes:
         raise GuavagapError(ErrorKind.FRAME_INVALID, "a delta of another size")
-    return decode_delta(raw)
+    return raw
--- /dev/null
+++ b/guavagap/documents_deployment.py
@@ -0,0 +1,129 @@
+"""Deployments in which teams commit documents with the command line."""
+
+import random
+import time
+
+import curio
+
+from guavagap.addresses import parse_address
+from guavagap.backoff import Backoff
+from guavagap.commits import read_head
+from guavagap.configuration import Configuration
+from guavagap.deployment import Deployment
+from guavagap.dialect import NATIVE_DIALECT
+from guavagap.errors import GuavagapError
+from guavagap.key_value import KeyValueStore
+from guavagap.logs import get_logger
+from guavagap.messages import MemberState
+from guavagap.relay import SEEDS_KEY, Relay, decode_seeds
+from guavagap.retries import RetryBudget
+from guavagap.rollout_books import HeadRolloutBook
+from guavagap.routing import Router
+from guavagap.settings import Settings
+
+__all__ = ["DocumentsDeployment"]
+
+log = get_logger()
+
+LEARN_TIMEOUT_S = 1.0
+LEARN_BACKOFF_FIRST_S = 0.2
+LEARN_BACKOFF_LIMIT_S = 3.0
+LEARN_MEMBERS_ASKED = 5
+CATCH_UP_WAIT_S = 2.0
+CATCH_UP_STEP_S = 0.05
+
+
+class DocumentsDeployment(Deployment):
+    """Head and documents in the platform's key-value store.
+
+    Args:
+        settings: the checked settings.
+        platform: client of the store.
+    """
+
+    dialect = NATIVE_DIALECT
+    is_forwarding_only = False
+    accept_after_stop_s = 0.0
+    router_class = Router
+
+    def __init__(self, settings: Settings, platform: KeyValueStore):
+        self.platform = platform
+        self.configuration = Configuration()
+        self.mesh_key_bytes = settings.mesh_key_bytes
+        self._lease_ttl_s = settings.relay_lease_ttl_s
+
+    @property
+    def call_counts(self):
+        """Calls of the platform by kind."""
+        return self.platform.call_counts
+
+    def make_relay(self, node):
+        return Relay(
+            self.platform,
+            node.table,
+            self.configuration,
+            node.disseminator,
+            self._lease_ttl_s,
+            node.introduce_to,
+        )
+
+    def make_rollout_book(self, node):
+        return HeadRolloutBook(node, self.platform)
+
+    def make_retry_budget(self, share, node_count):
+        return RetryBudget(share)
+
+    async def learn(self, node):
+        """Apply the highest epoch that peers and the platform know."""
+        backoff = Backoff(LEARN_BACKOFF_FIRST_S, LEARN_BACKOFF_LIMIT_S)
+        while True:
+            epoch = await self._ask_for_epoch(node)
+            if epoch is not None and await self._catch_up(epoch):
+                return
+            log.warning(
+                "configuration not learned yet",
+                known_epoch=epoch,
+                applied=self.configuration.epoch,
+            )
+            await curio.sleep(backoff.next_s())
+
+    async def _ask_for_epoch(self, node) -> int | None:
+        """Return the highest epoch known to peers and platform, None without either."""
+        membership, table = node.membership, node.table
+        await membership.ping_peers(LEARN_TIMEOUT_S)
+        platform_epoch = await self._ask_platform(node)
+        members = table.others(MemberState.ALIVE)
+        asked = random.sample(members, min(LEARN_MEMBERS_ASKED, len(members)))
+        for row in asked[:1]:
+            await node.sync_members(row.node_id)
+        for row in asked:
+            await membership.ping(parse_address(row.mesh_address), LEARN_TIMEOUT_S)
+        seen = node.disseminator.highest_epoch_seen
+        if platform_epoch is None and not seen:
+            return None
+        return max(seen, platform_epoch or 0)
+
+    async def _ask_platform(self, node) -> int | None:
+        try:
+            head, _ = await read_head(self.platform)
+            if not node.table.others(MemberState.ALIVE):
+                await self._meet_seeds(node)
+            return head["epoch"]
+        except GuavagapError as error:
+            log.info("platform not asked", why=str(error))
+            return None
+
+    async def _meet_seeds(self, node) -> None:
+        value = await self.platform.get(SEEDS_KEY)
+        if value is not None:
+            seeds = decode_seeds(value.body).values()
+            await node.introduce_to([seed.mesh_address for seed in seeds])
+
+    async def _catch_up(self, epoch: int) -> bool:
+        """Wait a little until an epoch is applied."""
+        deadline_s = time.monotonic() + CATCH_UP_WAIT_S
+        while self.configuration.epoch < epoch:
+            if time.monotonic() > deadline_s:
+                return False
+            await curio.sleep(CATCH_UP_STEP_S)
+        return True
--- a/guavagap/errors.py
+++ b/guavagap/errors.py
@@ -36,6 +36,7 @@
     NOT_READY = "not_ready"
     NO_BACKEND_SERVER = "no_backend_server"
     OVERLOADED = "overloaded"
+    SLOTS_TAKEN = "slots_taken"
     DRAINING = "draining"
     REFUSED_BY_BACKEND_SERVER = "refused_by_backend_server"
     CONNECT_FAILED = "connect_failed"
@@ -64,6 +65,8 @@
     NOT_FOUND = "not_found"
     WAIT_TIMEOUT = "wait_timeout"
     PLATFORM_UNREACHABLE = "platform_unreachable"
+    PLATFORM_BUSY = "platform_busy"
+    HISTORY_LOST = "history_lost"
     NODE_UNREACHABLE = "node_unreachable"
     SETTING_INVALID = "setting_invalid"
     INTERNAL = "internal"
@@ -96,6 +99,7 @@
     ErrorKind.NOT_READY: Answer(503, _NOT_RUN, "warning", EXIT_REFUSED),
     ErrorKind.NO_BACKEND_SERVER: Answer(503, _NOT_RUN, "warning", EXIT_REFUSED),
     ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, "warning", EXIT_REFUSED),
+    ErrorKind.SLOTS_TAKEN: Answer(503, _NOT_RUN, "debug", EXIT_REFUSED),
     ErrorKind.DRAINING: Answer(503, _NOT_RUN, "info", EXIT_REFUSED),
     ErrorKind.REFUSED_BY_BACKEND_SERVER: Answer(503, _NOT_RUN, "info", EXIT_REFUSED),
     ErrorKind.CONNECT_FAILED: Answer(502, _NOT_RUN, "warning", EXIT_REFUSED),
@@ -126,6 +130,8 @@
     ErrorKind.PLATFORM_UNREACHABLE: Answer(
         503, _UNKNOWN, "warning", EXIT_PLATFORM_UNREACHABLE
     ),
+    ErrorKind.PLATFORM_BUSY: Answer(503, _NOT_RUN, "info", EXIT_PLATFORM_UNREACHABLE),
+    ErrorKind.HISTORY_LOST: Answer(503, _NOT_RUN, "info", EXIT_REFUSED),
     ErrorKind.NODE_UNREACHABLE: Answer(503, _UNKNOWN, "warning", EXIT_REFUSED),
     ErrorKind.SETTING_INVALID: Answer(500, _NOT_RUN, "error", EXIT_USAGE),
     ErrorKind.INTERNAL: Answer(500, _UNKNOWN, "error", EXIT_REFUSED),
--- a/guavagap/evaluator.py
+++ b/guavagap/evaluator.py
@@ -12,16 +12,14 @@
 
 import curio
 
-from guavagap.commits import make_change, swap_head
 from guavagap.errors import GuavagapError
 from guavagap.evidence import EvidenceTable, EvidenceWindows
-from guavagap.head import Entry, Head, Rollout
+from guavagap.head import Rollout
 from guavagap.logs import get_logger
 from guavagap.messages import EvidenceReport, EvidenceRow, Notice
 from guavagap.rendezvous import rendezvous_order
 from guavagap.rollouts import (
     FULL_WEIGHT_PERMILLE,
-    SEQUENTIAL_POLICY,
     Decision,
     decide,
     find_fault,
@@ -31,8 +29,7 @@
 
 log = get_logger()
 
-TICK_S = 1.0
-OPEN_STATES = ("running", "paused")
+SEND_TIMEOUT_S = 1.0
 
 
 class Evaluator:
@@ -44,6 +41,7 @@
 
     def __init__(self, node):
         self._node = node
+        self._book = node.deployment.make_rollout_book(node)
         self._collected = EvidenceTable()
         self._summed = EvidenceTable()
         self._own_windows: dict[str, EvidenceWindows] = {}
@@ -53,21 +51,13 @@
     async def run(self) -> None:
         """Send evidence and judge rollouts until cancelled."""
         while True:
-            await curio.sleep(TICK_S)
-            open_rollouts = self._open_rollouts()
+            await curio.sleep(self._book.interval_s)
+            await self._book.start_pending(self._is_evaluator)
+            open_rollouts = self._book.open_rollouts()
             await self._send_own(open_rollouts)
             await self._collect(open_rollouts)
             await self._evaluate(open_rollouts)
 
-    def _open_rollouts(self) -> dict[str, Rollout]:
-        """Return the rollouts without a verdict, by service."""
-        rollouts = {}
-        for service, entry in self._node.configuration.head["entries"].items():
-            rollout = entry["rollout"]
-            if rollout is not None and rollout["state"] in OPEN_STATES:
-                rollouts[service] = rollout
-        return rollouts
-
     def collector_of(self, failure_domain: str) -> str | None:
         """Return the node that collects a failure domain's evidence."""
         rows = self._node.table.alive_in_domain(failure_domain)
@@ -82,6 +72,9 @@
         order = rendezvous_order(service, reachable, str)
         return self.collector_of(order[0]) if order else None
 
+    def _is_evaluator(self, service: str) -> bool:
+        return self.evaluator_of(service) == self._node.settings.node_id
+
     async def _send_own(self, open_rollouts: dict[str, Rollout]) -> None:
         rows = self._node.evidence.take(set(open_rollouts))
         rows = tuple(
@@ -110,7 +103,7 @@
 
     async def _send_report(self, node_id: str, report: EvidenceReport) -> None:
         try:
-            async with curio.timeout_after(TICK_S):
+            async with curio.timeout_after(SEND_TIMEOUT_S):
                 link = await self._node.links.get(node_id)
                 await link.send(report)
         except (GuavagapError, curio.TaskTimeout) as error:
@@ -128,7 +121,7 @@
         self._keep_windows(self._own_windows, open_rollouts, rows)
         for service, rollout in open_rollouts.items():
             windows = self._own_windows[service].windows()
-            finding = find_fault(SEQUENTIAL_POLICY, windows)
+            finding = find_fault(self._book.policy, windows)
             if finding is not None:
                 await self._give_notice(service, rollout, finding.reason)
             own_rows = tuple(row for row in rows if row.service == service)
@@ -146,7 +139,11 @@
         for service, rollout in open_rollouts.items():
             held = windows.get(service)
             if held is None or held.new_version != rollout["to_version"]:
-                held = EvidenceWindows(rollout["from_version"], rollout["to_version"])
+                held = EvidenceWindows(
+                    rollout["from_version"],
+                    rollout["to_version"],
+                    self._book.cold_requests,
+                )
                 windows[service] = held
             held.add_tick(tuple(row for row in rows if row.service == service))
 
@@ -161,22 +158,20 @@
         """Decide on the rollouts that this node evaluates."""
         rows = self._summed.take(set(open_rollouts))
         self._keep_windows(self._all_windows, open_rollouts, rows)
-        self._start_stages()
+        self._start_stages(open_rollouts)
         for service, rollout in open_rollouts.items():
-            if self.evaluator_of(service) != self._node.settings.node_id:
+            if not self._is_evaluator(service):
                 continue
             decision = self._decide(service, rollout)
             if decision.finding is not None:
                 await self._give_notice(service, rollout, decision.reason)
             if self._is_change(service, rollout, decision):
-                await self._write(service, rollout, decision)
+                await self._book.write(service, rollout, decision)
 
-    def _start_stages(self) -> None:
-        """Start a new window where the head shows a new weight."""
-        entries = self._node.configuration.head["entries"]
+    def _start_stages(self, open_rollouts: dict[str, Rollout]) -> None:
+        """Start a new window where a rollout has a new weight."""
         for service in self._all_windows:
-            rollout = entries[service]["rollout"]
-            weight = 0 if rollout is None else rollout["weight_permille"]
+            weight = open_rollouts[service]["weight_permille"]
             if self._weights.get(service) != weight:
                 self._weights[service] = weight
                 self._all_windows[service].start_stage()
@@ -189,7 +184,7 @@
                 return Decision(0, False, notice, notice.reason)
         windows = self._all_windows[service]
         return decide(
-            SEQUENTIAL_POLICY,
+            self._book.policy,
             rollout,
             windows.windows(),
             windows.requests_of_stage(),
@@ -216,49 +211,3 @@
             or decision.weight_permille != rollout["weight_permille"]
             or decision.reason != rollout["reason"]
         )
-
-    async def _write(self, service: str, rollout: Rollout, decision: Decision) -> None:
-        """Write a decision to the head, unless the head has moved on."""
-        change = make_change("rollout", self._node.settings.node_id, decision.reason)
-
-        async def edit(head: Head) -> Head | None:
-            entry = head["entries"].get(service)
-            if entry is None or entry["rollout"] != rollout:
-                return None
-            epoch = head["epoch"] + 1
-            change["versions"] = {service: entry["version"]}
-            new_entry = _decided(entry, decision, time.time()) | {"epoch": epoch}
-            entries = head["entries"] | {service: new_entry}
-            return {"epoch": epoch, "change": None, "entries": entries}
-
-        try:
-            commit = await swap_head(self._node.platform, change, edit)
-        except GuavagapError as error:
-            log.info("decision not written", service=service, why=str(error))
-            return
-        if commit.versions:
-            log.info(
-                "rollout decision",
-                service=service,
-                version=rollout["to_version"],
-                weight_permille=decision.weight_permille,
-                reason=decision.reason,
-            )
-
-
-def _decided(entry: Entry, decision: Decision, now_s: float) -> Entry:
-    """Return an entry after a decision."""
-    rollout = entry["rollout"] | {"reason": decision.reason}
-    if decision.finding is not None:
-        rollout |= {"state": "rolled_back", "weight_permille": 0}
-        versions = [*entry["rolled_back_versions"], rollout["to_version"]]
-        return entry | {"rollout": rollout, "rolled_back_versions": versions}
-    if decision.is_complete:
-        rollout |= {"state": "completed"}
-        return entry | {"rollout": rollout, "stable_version": rollout["to_version"]}
-    if decision.weight_permille != rollout["weight_permille"]:
-        rollout |= {
-            "weight_permille": decision.weight_permille,
-            "stage_started_at_s": now_s,
-        }
-    return entry | {"rollout": rollout}
--- a/guavagap/evidence.py
+++ b/guavagap/evidence.py
@@ -7,6 +7,7 @@
 from guavagap.messages import EvidenceRow
 
 __all__ = [
+    "COLD_REQUESTS",
     "EvidenceKey",
     "EvidenceSum",
     "EvidenceTable",
@@ -166,9 +167,13 @@
     Args:
         old_version: the version before.
         new_version: the version that is taking over.
+        cold_requests: first requests of a server that do not count as slow.
     """
 
-    def __init__(self, old_version: str, new_version: str):
+    def __init__(
+        self, old_version: str, new_version: str, cold_requests: int = COLD_REQUESTS
+    ):
+        self._cold_requests = cold_requests
         self.old_version = old_version
         self.new_version = new_version
         self._all = [_Window(ticks) for ticks in (*WINDOW_TICKS, None)]
@@ -194,7 +199,7 @@
             window.add(warm)
 
     def _is_warm(self, key: EvidenceKey) -> bool:
-        return self._requests_of_server[key.server_id] >= COLD_REQUESTS
+        return self._requests_of_server[key.server_id] >= self._cold_requests
 
     def start_stage(self) -> None:
         """Leave earlier evidence on the new version out."""
--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -20,18 +20,14 @@
     "Attempt",
     "Downstream",
     "ForwardedRequest",
-    "RUN_HEADER",
-    "RUN_NOT_RUN",
-    "RUN_UNKNOWN",
     "Upstream",
     "limit_to_deadline",
     "relay_exchange",
 ]
 
-RUN_HEADER = b"guavagap-run"
-RUN_NOT_RUN = b"not-run"
-RUN_UNKNOWN = b"unknown"
-REFUSAL_STATUS = 503
+# Answers up to this size are read whole before any of them is passed on, so that
+# one that is cut short can still be replaced by another attempt.
+MAX_HELD_ANSWER_BYTES = 65_536
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -44,6 +40,8 @@
         content_length_bytes: the declared length, or None for a chunked body.
         has_body: False when there is no body at all.
         deadline_s: monotonic time after which the answer is of no use.
+        priority: 0 is the most urgent among those that wait for a slot.
+        max_wait_s: how long it may wait for a slot; None until the deadline.
     """
 
     method: bytes
@@ -53,6 +51,8 @@
     has_body: bool
     is_idempotent: bool
     deadline_s: float
+    priority: int = 1
+    max_wait_s: float | None = None
 
 
 class AnswerHead(NamedTuple):
@@ -60,12 +60,17 @@
 
     Attributes:
         is_complete: True when ``chunks`` is the whole body.
+        load: requests in the backend server, as its node counts them; None when
+            the answer did not pass that node.
+        is_chunked: whether the body came in chunks, as endless ones do.
     """
 
     status: int
     headers: Headers
     chunks: list[bytes]
     is_complete: bool
+    load: int | None = None
+    is_chunked: bool = False
 
 
 class Attempt:
@@ -191,8 +196,7 @@
     is_finished = False
     try:
         is_body_sent = await _send_request(request, downstream, upstream)
-        answer = await upstream.read_answer()
-        _raise_refusal(answer)
+        answer = await _read_whole(await upstream.read_answer(), upstream)
         await downstream.send_answer(answer)
         is_complete = answer.is_complete
         while not is_complete:
@@ -229,11 +233,20 @@
     return False
 
 
-def _raise_refusal(answer: AnswerHead) -> None:
-    """Raise when the backend server says that it did not run the request."""
-    if answer.status != REFUSAL_STATUS:
-        return
-    if (RUN_HEADER, RUN_NOT_RUN) in answer.headers:
-        raise GuavagapError(
-            ErrorKind.REFUSED_BY_BACKEND_SERVER, "refused by the backend server"
-        )
+async def _read_whole(answer: AnswerHead, upstream: Upstream) -> AnswerHead:
+    """Read the rest of a small answer whose end does not depend on its reader."""
+    if answer.is_complete or not _may_be_held(answer):
+        return answer
+    chunks, is_complete = answer.chunks, False
+    while not is_complete and sum(map(len, chunks)) < MAX_HELD_ANSWER_BYTES:
+        more, is_complete = await upstream.read_chunks()
+        chunks = chunks + more
+    return answer._replace(chunks=chunks, is_complete=is_complete)
+
+
+def _may_be_held(answer: AnswerHead) -> bool:
+    """Return whether the body has a small length, or ends with its connection."""
+    for name, value in answer.headers:
+        if name == b"content-length":
+            return int(value) <= MAX_HELD_ANSWER_BYTES
+    return not answer.is_chunked
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -2,9 +2,12 @@
 
 import time
 
+from guavagap.directory import ServerHealth
 from guavagap.errors import ErrorKind, GuavagapError, answer_for
 from guavagap.exchange import AnswerHead, Downstream, ForwardedRequest, Upstream
 from guavagap.messages import (
+    NO_LOAD,
+    NO_WAIT_LIMIT,
     Header,
     OpenStream,
     StreamAnswer,
@@ -15,6 +18,11 @@
 __all__ = ["StreamDownstream", "StreamExchange", "request_from_open_stream"]
 
 
+def _to_ms(duration_s: float) -> int:
+    """Return whole milliseconds; a duration above zero stays above zero."""
+    return max(1, int(duration_s * 1000)) if duration_s > 0 else 0
+
+
 def _raise_reset(reset: StreamReset) -> None:
     try:
         kind = ErrorKind(reset.kind)
@@ -31,11 +39,13 @@
     Args:
         stream: a new stream, closed at the end.
         server_id: the backend server that should run it.
+        health: told the load that the other node reports.
     """
 
-    def __init__(self, stream: Stream, server_id: str):
+    def __init__(self, stream: Stream, server_id: str, health: ServerHealth):
         self._stream = stream
         self._server_id = server_id
+        self._health = health
 
     async def send_request(self, request: ForwardedRequest, chunks, is_complete):
         timeout_ms = max(0, int((request.deadline_s - time.monotonic()) * 1000))
@@ -56,6 +66,8 @@
             first,
             is_whole,
             request.is_idempotent,
+            request.priority,
+            NO_WAIT_LIMIT if request.max_wait_s is None else _to_ms(request.max_wait_s),
         )
         await self._stream.take_credit(len(first))
         self.is_written = True
@@ -72,6 +84,8 @@
     async def read_answer(self):
         message = await self._stream.receive()
         if isinstance(message, StreamReset):
+            if message.load != NO_LOAD:
+                self._health.note_load(message.load, time.monotonic())
             _raise_reset(message)
         if not isinstance(message, StreamAnswer):
             raise GuavagapError(ErrorKind.FRAME_INVALID, "body before an answer")
@@ -81,6 +95,8 @@
             [tuple(header) for header in message.headers],
             [message.body] if message.body else [],
             message.is_complete,
+            None if message.load == NO_LOAD else message.load,
+            message.is_chunked,
         )
 
     async def read_chunks(self):
@@ -108,9 +124,11 @@
     Args:
         stream: the stream that the request arrived on.
         opening: its first frame.
+        read_load: returns the requests in the backend server.
     """
 
-    def __init__(self, stream: Stream, opening: OpenStream):
+    def __init__(self, stream: Stream, opening: OpenStream, read_load):
+        self._read_load = read_load
         self.is_body_ended = opening.is_complete
         self.chunks = [opening.body] if opening.body else []
         self.is_body_complete = opening.is_complete
@@ -141,6 +159,8 @@
                 tuple(Header(*header) for header in answer.headers),
                 first,
                 is_whole,
+                max(0, self._read_load() - 1),
+                answer.is_chunked,
             )
         )
         if len(body) > len(first):
@@ -170,4 +190,6 @@
         is_chunked or bool(content_length_bytes),
         opening.is_idempotent,
         time.monotonic() + opening.timeout_ms / 1000,
+        opening.priority,
+        None if opening.max_wait_ms == NO_WAIT_LIMIT else opening.max_wait_ms / 1000,
     )
--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -9,6 +9,7 @@
 from guavagap.forwarding import StreamDownstream, request_from_open_stream
 from guavagap.logs import get_logger
 from guavagap.messages import (
+    NO_LOAD,
     DeltaPush,
     DeltaRequest,
     EvidenceReport,
@@ -56,7 +57,12 @@
     """Run a forwarded request on a local backend server."""
     stream = link.add_stream(opening.stream_id)
     stream.cancel_on_reset(await curio.current_task())
-    downstream = StreamDownstream(stream, opening)
+
+    def read_load() -> int:
+        front = node.fronts.get(opening.server_id)
+        return NO_LOAD if front is None else front.load
+
+    downstream = StreamDownstream(stream, opening, read_load)
     request = request_from_open_stream(opening)
     attempt = Attempt()
     try:
@@ -65,7 +71,7 @@
     except GuavagapError as error:
         is_not_run = not attempt.is_written or answer_for(error.kind).is_not_run
         if not link.is_closed:
-            await stream.send_reset(error.kind, error.detail, is_not_run)
+            await stream.send_reset(error.kind, error.detail, is_not_run, read_load())
     except Exception:
         await stream.send_reset(ErrorKind.INTERNAL, "see the owner node's log", False)
         raise
--- a/guavagap/http1.py
+++ b/guavagap/http1.py
@@ -135,6 +135,23 @@
             self._inspect_head()
         return True
 
+    def restart_answer(self, request: h11.Request) -> None:
+        """Expect the answer to a request that was already sent once more.
+
+        The answer read last belonged to another request; bytes that follow it
+        are kept.
+        """
+        data, is_closed = self.h11.trailing_data
+        self.h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+        self.h11.send(h11.Request(**_without_body(request)))
+        self.h11.send(h11.EndOfMessage())
+        if data:
+            self.h11.receive_data(data)
+        if is_closed:
+            self.h11.receive_data(b"")
+
     def is_closed_by_peer(self) -> bool:
         """Return whether the other end has closed, without waiting."""
         flags = stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT
@@ -164,6 +181,13 @@
             pass
 
 
+def _without_body(request: h11.Request) -> dict:
+    """Return the fields of a request as one without a body."""
+    dropped = (b"content-length", b"transfer-encoding")
+    headers = [item for item in request.headers if item[0] not in dropped]
+    return {"method": request.method, "target": request.target, "headers": headers}
+
+
 async def connect_http1(address: Address, timeout_s: float) -> Http1Connection:
     """Open a client connection.
 
--- a/guavagap/platform.py
+++ b/guavagap/key_value.py
@@ -15,9 +15,9 @@
 __all__ = [
     "ABSENT",
     "MAX_VALUE_BYTES",
-    "MemoryPlatform",
+    "MemoryKeyValueStore",
     "MemoryStore",
-    "Platform",
+    "KeyValueStore",
     "StoredValue",
 ]
 
@@ -32,7 +32,7 @@
     revision: str
 
 
-class Platform(ABC):
+class KeyValueStore(ABC):
     """What the rest of the system asks of the platform.
 
     Each call raises :class:`GuavagapError` PLATFORM_UNREACHABLE when there is
@@ -170,7 +170,7 @@
             await self._changed.wait()
 
 
-class MemoryPlatform(Platform):
+class MemoryKeyValueStore(KeyValueStore):
     """The platform inside one process.
 
     Args:
--- a/guavagap/limits.py
+++ b/guavagap/limits.py
@@ -4,8 +4,9 @@
 bounds the direct connections that other nodes may hold.
 """
 
-from collections import deque
+import heapq
 from contextlib import asynccontextmanager
+from itertools import count
 from typing import NamedTuple
 
 import curio
@@ -24,8 +25,22 @@
     return max(0, connections - slots - RESERVE_BEYOND_SLOTS)
 
 
+class _Turn:
+    """One request that waits for a slot.
+
+    Attributes:
+        refusal: why it does not get one.
+    """
+
+    __slots__ = ("event", "refusal")
+
+    def __init__(self):
+        self.event = curio.Event()
+        self.refusal: GuavagapError | None = None
+
+
 class Admission:
-    """Admits up to ``slots`` requests and lets a few more wait.
+    """Admits up to ``slots`` requests and lets a few more wait, by priority.
 
     Args:
         slots: how many requests run at once.
@@ -35,55 +50,94 @@
         self.slots = slots
         self.in_flight = 0
         self.is_draining = False
-        self._waiting: deque[curio.Event] = deque()
+        self._numbers = count()
+        self._waiting: list[tuple[int, int, _Turn]] = []
 
     @property
     def queue_length(self) -> int:
         """How many requests wait for a slot."""
         return len(self._waiting)
 
+    async def start_draining(self) -> None:
+        """Admit nothing new and refuse what waits."""
+        self.is_draining = True
+        waiting, self._waiting = self._waiting, []
+        for _, _, turn in waiting:
+            await _refuse(turn, ErrorKind.DRAINING, "the backend server is leaving")
+
     @asynccontextmanager
-    async def admit(self):
-        """Hold a slot for one request; the caller's timeout bounds the wait.
+    async def admit(self, priority: int = 1, max_wait_s: float | None = None):
+        """Hold a slot for one request; the caller's timeout bounds the wait too.
+
+        Args:
+            priority: 0 is the most urgent.
+            max_wait_s: limit of the wait; 0 not to wait, None for no limit.
 
         Raises:
-            GuavagapError: DRAINING, or OVERLOADED when the queue is full; the
-                request was not run.
+            GuavagapError: DRAINING; SLOTS_TAKEN when it may not wait; OVERLOADED
+                when the queue is full or the wait too long. Nothing was run.
         """
-        await self._enter()
+        await self._enter(priority, max_wait_s)
         try:
             yield
         finally:
             await self._leave()
 
-    async def _enter(self) -> None:
+    async def _enter(self, priority: int, max_wait_s: float | None) -> None:
         if self.is_draining:
             raise GuavagapError(ErrorKind.DRAINING, "the backend server is leaving")
         if self.in_flight < self.slots:
             self.in_flight += 1
             return
+        if max_wait_s == 0:
+            raise GuavagapError(ErrorKind.SLOTS_TAKEN, "every slot is taken")
         if len(self._waiting) >= self.slots * QUEUE_PER_SLOT:
-            raise GuavagapError(ErrorKind.OVERLOADED, "the queue is full")
-        turn = curio.Event()
-        self._waiting.append(turn)
+            await self._make_room(priority)
+        turn = _Turn()
+        entry = (priority, next(self._numbers), turn)
+        heapq.heappush(self._waiting, entry)
         try:
-            await turn.wait()
+            async with curio.ignore_after(max_wait_s):
+                await turn.event.wait()
         except BaseException:
-            if turn.is_set():
+            if turn.event.is_set() and turn.refusal is None:
                 await self._leave()
             else:
-                self._waiting.remove(turn)
+                self._forget(entry)
             raise
+        if turn.refusal is not None:
+            raise turn.refusal
+        if not turn.event.is_set():
+            self._forget(entry)
+            raise GuavagapError(ErrorKind.OVERLOADED, "no slot in time")
+
+    async def _make_room(self, priority: int) -> None:
+        """Send the least urgent request away, unless that is the new one."""
+        entry = max(self._waiting)
+        if entry[0] <= priority:
+            raise GuavagapError(ErrorKind.OVERLOADED, "the queue is full")
+        self._forget(entry)
+        await _refuse(entry[2], ErrorKind.OVERLOADED, "a more urgent request came")
+
+    def _forget(self, entry: tuple[int, int, _Turn]) -> None:
+        if entry in self._waiting:
+            self._waiting.remove(entry)
+            heapq.heapify(self._waiting)
 
     async def _leave(self) -> None:
-        """Give the slot to the request that has waited longest."""
-        while self._waiting:
-            turn = self._waiting.popleft()
-            await turn.set()
+        """Give the slot to the most urgent request that has waited longest."""
+        if self._waiting:
+            _, _, turn = heapq.heappop(self._waiting)
+            await turn.event.set()
             return
         self.in_flight -= 1
 
 
+async def _refuse(turn: _Turn, kind: ErrorKind, detail: str) -> None:
+    turn.refusal = GuavagapError(kind, detail)
+    await turn.event.set()
+
+
 class _Holding(NamedTuple):
     granted: int
     held: int
--- a/guavagap/messages.py
+++ b/guavagap/messages.py
@@ -23,6 +23,8 @@
     "KeyLookupReply",
     "KeyState",
     "Member",
+    "NO_LOAD",
+    "NO_WAIT_LIMIT",
     "MemberState",
     "MembersReply",
     "MembersRequest",
@@ -44,6 +46,10 @@
 ]
 
 
+NO_LOAD = 65_535
+NO_WAIT_LIMIT = 2**32 - 1
+
+
 class Header(NamedTuple):
     """One HTTP header; the name is in lower case."""
 
@@ -166,7 +172,11 @@
 
 
 class OpenStream(NamedTuple):
-    """Head of a forwarded request, with as much body as is at hand."""
+    """Head of a forwarded request, with as much body as is at hand.
+
+    Attributes:
+        max_wait_ms: how long it may wait for a slot, or NO_WAIT_LIMIT.
+    """
 
     stream_id: int
     server_id: str
@@ -177,6 +187,8 @@
     body: bytes
     is_complete: bool
     is_idempotent: bool
+    priority: int = 1
+    max_wait_ms: int = NO_WAIT_LIMIT
 
 
 class StreamData(NamedTuple):
@@ -195,22 +207,33 @@
 
 
 class StreamReset(NamedTuple):
-    """The end of a stream that cannot be finished."""
+    """The end of a stream that cannot be finished.
+
+    Attributes:
+        load: requests in the backend server, or NO_LOAD.
+    """
 
     stream_id: int
     kind: str
     detail: str
     is_not_run: bool
+    load: int = NO_LOAD
 
 
 class StreamAnswer(NamedTuple):
-    """Head of an answer, with as much body as is at hand."""
+    """Head of an answer, with as much body as is at hand.
+
+    Attributes:
+        load: requests in the backend server, or NO_LOAD.
+    """
 
     stream_id: int
     status: int
     headers: tuple[Header, ...]
     body: bytes
     is_complete: bool
+    load: int = NO_LOAD
+    is_chunked: bool = False
 
 
 class PermitDemand(NamedTuple):
--- a/guavagap/metrics.py
+++ b/guavagap/metrics.py
@@ -79,7 +79,7 @@
             "relay_held", "1 while this node is relay.", int(node.relay.is_held)
         )
         self._gauge("rollback_notices", "Notices held.", len(node.notices))
-        for kind, value in node.platform.call_counts.items():
+        for kind, value in node.deployment.call_counts.items():
             self._count("platform_calls_total", "Calls by kind.", value, kind=kind)
         for way, value in node.disseminator.counts.items():
             self._count("config_deltas_total", "Deltas by way.", value, way=way)
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -1,6 +1,5 @@
 """The parts of one node and how they are put together."""
 
-import random
 import time
 from collections import Counter
 from contextlib import asynccontextmanager
@@ -8,11 +7,10 @@
 import curio
 
 from guavagap.addresses import format_address, parse_address
-from guavagap.announcements import AnnouncementRegistry
+from guavagap.announcements import AnnouncementRegistry, ServerReport
 from guavagap.backend_front import BackendFront
-from guavagap.backoff import Backoff
-from guavagap.commits import read_head
-from guavagap.configuration import Configuration
+from guavagap.deployment import Deployment
+from guavagap.deployments import open_deployment
 from guavagap.direct import DirectConnections
 from guavagap.directory import Directory
 from guavagap.dissemination import Disseminator
@@ -37,12 +35,9 @@
     PermitRevoke,
 )
 from guavagap.notices import NoticeSet
-from guavagap.platform import Platform
-from guavagap.platform_http import open_platform
 from guavagap.poison import PoisonGuard
 from guavagap.proxy import Proxy
-from guavagap.relay import SEEDS_KEY, Relay, decode_seeds
-from guavagap.routing import Router
+from guavagap.retries import RetryBudget
 from guavagap.settings import Settings
 from guavagap.tasks import TaskScope, open_task_scope
 
@@ -51,12 +46,7 @@
 log = get_logger()
 
 HOUSEKEEPING_S = 0.1
-LEARN_TIMEOUT_S = 1.0
-LEARN_BACKOFF_FIRST_S = 0.2
-LEARN_BACKOFF_LIMIT_S = 3.0
-LEARN_MEMBERS_ASKED = 5
-CATCH_UP_WAIT_S = 2.0
-CATCH_UP_STEP_S = 0.05
+INTRODUCE_TIMEOUT_S = 1.0
 SYNC_INTERVAL_S = 5.0
 GOSSIP_TARGETS = 6
 LEAVE_GOSSIP_TARGETS = 12
@@ -67,7 +57,7 @@
 
     Args:
         settings: the checked settings.
-        platform: client of the key-value service.
+        deployment: what differs between kinds of deployment.
         scope: owns the node's tasks.
         blocked: injected faults.
 
@@ -80,17 +70,20 @@
     def __init__(
         self,
         settings: Settings,
-        platform: Platform,
+        deployment: Deployment,
         scope: TaskScope,
         blocked: BlockedAddresses,
     ):
         self.blocked = blocked
         self.settings = settings
-        self.platform = platform
+        self.deployment = deployment
+        self.dialect = deployment.dialect
+        self.is_forwarding_only = deployment.is_forwarding_only
+        self.caller_idle_timeout_s = settings.caller_read_timeout_s
         self.scope = scope
         self.is_ready = False
         self.is_draining = False
-        self.configuration = Configuration()
+        self.configuration = deployment.configuration
         self.notices = NoticeSet()
         self.poison = PoisonGuard()
         self.evidence = EvidenceTable()
@@ -99,7 +92,7 @@
         self.table = MemberTable(_own_row(settings), time.monotonic)
         self.traffic = TrafficCounts(*(Counter() for _ in range(4)))
         self.links = LinkPool(
-            LinkIdentity(settings.node_id, settings.mesh_key_bytes),
+            LinkIdentity(settings.node_id, deployment.mesh_key_bytes),
             self.table,
             scope,
             self._handle,
@@ -107,7 +100,7 @@
             blocked,
         )
         self.directory = Directory(self.table)
-        self.router = Router(
+        self.router = deployment.router_class(
             self.directory,
             settings.node_id,
             settings.region,
@@ -121,7 +114,7 @@
         self.membership = Membership(
             self.table,
             settings.mesh_address,
-            settings.mesh_key_bytes,
+            deployment.mesh_key_bytes,
             settings.peer_addresses,
             settings.probe_interval_s,
             settings.suspicion_timeout_s,
@@ -130,14 +123,7 @@
             self._on_datagram,
             blocked,
         )
-        self.relay = Relay(
-            platform,
-            self.table,
-            self.configuration,
-            self.disseminator,
-            settings.relay_lease_ttl_s,
-            self._introduce_to,
-        )
+        self.relay = deployment.make_relay(self)
         self.keys = KeyGuard(self.table, self.links, time.monotonic)
         self.proxy = Proxy(self)
         self.evaluator = Evaluator(self)
@@ -206,7 +192,8 @@
                 )
                 self.spread_soon()
 
-    async def _introduce_to(self, mesh_addresses: list[str]) -> None:
+    async def introduce_to(self, mesh_addresses: list[str]) -> None:
+        """Tell the nodes at some mesh addresses about this one."""
         own = self.settings.mesh_address
         addresses = [parse_address(text) for text in mesh_addresses]
         others = tuple(address for address in addresses if address != own)
@@ -214,7 +201,7 @@
         self.membership.peer_addresses += tuple(
             address for address in others if address not in known
         )
-        await self.membership.ping_peers(LEARN_TIMEOUT_S)
+        await self.membership.ping_peers(INTRODUCE_TIMEOUT_S)
 
     def spread_soon(self) -> None:
         """Ask for news to be sent without waiting for the next probe."""
@@ -240,6 +227,18 @@
             )
         return await front.run(request, downstream, attempt)
 
+    async def take_report(self, report: ServerReport) -> None:
+        """Take what a backend server of this VM reports of itself."""
+        if not self.announcements.report(report, self.settings.report_ttl_s):
+            log.info("report out of date", **report._asdict())
+            return
+        await self.announcements_changed()
+
+    async def take_leave(self, server_id: str) -> None:
+        """Drain a backend server of this VM that says that it leaves."""
+        if self.announcements.leave(server_id):
+            await self.announcements_changed()
+
     async def announcements_changed(self) -> None:
         """Bring fronts and the own member row in line with announcements."""
         servers = self.announcements.servers()
@@ -250,10 +249,11 @@
                 == server._replace(is_draining=False)
             )
             if not is_same:
-                front = BackendFront(server, self.settings.permit_ttl_s)
+                front = BackendFront(server, self.settings.permit_ttl_s, self.dialect)
                 self.fronts[server.server_id] = front
             if server.is_draining and not front.admission.is_draining:
-                front.start_draining()
+                await front.start_draining()
+                log.info("backend server drains", server=server.server_id)
                 await self._revoke_permits(server.server_id, front)
         known = {server.server_id for server in servers}
         for server_id in list(self.fronts):
@@ -280,60 +280,14 @@
                 await self.membership.gossip_now(GOSSIP_TARGETS)
 
     async def learn(self) -> None:
-        """Become ready: learn the highest epoch there is and apply it."""
-        backoff = Backoff(LEARN_BACKOFF_FIRST_S, LEARN_BACKOFF_LIMIT_S)
-        while not self.is_ready:
-            epoch = await self._ask_for_epoch()
-            if epoch is not None and await self._catch_up(epoch):
-                self.is_ready = True
-                log.info("node ready", epoch=self.configuration.epoch)
-                return
-            log.warning(
-                "configuration not learned yet",
-                known_epoch=epoch,
-                applied=self.configuration.epoch,
-            )
-            await curio.sleep(backoff.next_s())
-
-    async def _ask_for_epoch(self) -> int | None:
-        """Return the highest epoch known to peers and platform, None without either."""
-        await self.membership.ping_peers(LEARN_TIMEOUT_S)
-        platform_epoch = await self._ask_platform()
-        members = self.table.others(MemberState.ALIVE)
-        asked = random.sample(members, min(LEARN_MEMBERS_ASKED, len(members)))
-        for row in asked[:1]:
-            await self.sync_members(row.node_id)
-        for row in asked:
-            await self.membership.ping(parse_address(row.mesh_address), LEARN_TIMEOUT_S)
-        seen = self.disseminator.highest_epoch_seen
-        if platform_epoch is None and not seen:
-            return None
-        return max(seen, platform_epoch or 0)
-
-    async def _ask_platform(self) -> int | None:
-        try:
-            head, _ = await read_head(self.platform)
-            if not self.table.others(MemberState.ALIVE):
-                await self._meet_seeds()
-            return head["epoch"]
-        except GuavagapError as error:
-            log.info("platform not asked", why=str(error))
-            return None
-
-    async def _meet_seeds(self) -> None:
-        value = await self.platform.get(SEEDS_KEY)
-        if value is not None:
-            seeds = decode_seeds(value.body).values()
-            await self._introduce_to([seed.mesh_address for seed in seeds])
-
-    async def _catch_up(self, epoch: int) -> bool:
-        """Wait a little until an epoch is applied."""
-        deadline_s = time.monotonic() + CATCH_UP_WAIT_S
-        while self.configuration.epoch < epoch:
-            if time.monotonic() > deadline_s:
-                return False
-            await curio.sleep(CATCH_UP_STEP_S)
-        return True
+        """Become ready: learn the newest configuration there is and apply it."""
+        await self.deployment.learn(self)
+        self.is_ready = True
+        log.info("node ready", epoch=self.configuration.epoch)
+
+    def make_retry_budget(self, share: float) -> RetryBudget:
+        """Return this node's part of the retries of one service or route."""
+        return self.deployment.make_retry_budget(share, len(self.table.alive()))
 
     async def leave(self) -> None:
         """Tell other nodes that this one and its backend servers are leaving."""
@@ -366,7 +320,6 @@
 async def open_node(settings: Settings):
     """Yield a node whose tasks end with the block."""
     blocked = BlockedAddresses()
-    address = settings.platform_address
-    async with open_platform(address, blocked=blocked) as platform:
+    async with open_deployment(settings, blocked) as deployment:
         async with open_task_scope("node") as scope:
-            yield Node(settings, platform, scope, blocked)
+            yield Node(settings, deployment, scope, blocked)
--- /dev/null
+++ b/guavagap/operator_deployment.py
@@ -0,0 +1,237 @@
+"""Deployments in which an operator's system declares configuration in a store.
+
+Nodes find each other through entries under leases, agree on the mesh's key by a
+conditional write, and mirror the operator's keys. Backend servers report to the
+node on their VM, and only that node reaches them.
+"""
+
+import os
+import random
+from typing import Callable, NamedTuple
+
+import curio
+
+from guavagap.addresses import format_address, parse_address
+from guavagap.backoff import Backoff
+from guavagap.declarations import Declaration, RolloutOrder
+from guavagap.declared_configuration import DeclaredConfiguration
+from guavagap.deployment import Deployment
+from guavagap.dialect import Dialect
+from guavagap.errors import GuavagapError
+from guavagap.feed import Feed
+from guavagap.head import Rollout
+from guavagap.logs import get_logger
+from guavagap.messages import DatagramKind, MemberState
+from guavagap.metadata_store import Lease, Listing, MetadataStore, MirrorItem, Write
+from guavagap.retries import RetryBudget
+from guavagap.rollout_books import RecordRolloutBook
+from guavagap.rollout_records import RECORD_PREFIX
+from guavagap.routing import ForwardingRouter
+from guavagap.settings import Settings
+
+__all__ = ["OperatorAdapter", "OperatorDeployment", "learn_mesh_key"]
+
+log = get_logger()
+
+MESH_KEY = "mesh/key"
+MESH_KEY_BYTES = 32
+ENTRY_PREFIX = "mesh/node/"
+# An entry outlives a short outage of the store and lapses soon after its node.
+ENTRY_TTL_S = 12.0
+ENTRY_RENEWAL_S = 4.0
+ENTRY_CHECK_S = 0.2
+ENTRY_RETRY_S = 1.0
+INTRODUCE_INTERVAL_S = 0.3
+LEARN_STEP_S = 0.05
+KEY_BACKOFF_FIRST_S = 0.1
+KEY_BACKOFF_LIMIT_S = 1.0
+# Enough contacts that membership spreads although some of them are gone.
+MAX_INTRODUCTIONS = 6
+# Clients learn within two checks, a second apart, that a node is not ready.
+ACCEPT_AFTER_STOP_S = 2.6
+# A node spends at most this part of its share of the retries that are allowed, for
+# windows overlap, membership changes and calls of repeated requests count too.
+RETRY_SHARE_USED = 0.4
+
+
+class OperatorAdapter(NamedTuple):
+    """What the adapter of a platform brings.
+
+    Attributes:
+        store: client of the metadata store.
+        dialect: headers of callers and backend servers.
+        operator_prefix: prefix of the keys that the operator writes.
+        decode_item: decodes an item of the operator, None for other items.
+        encode_status: returns key and value that tell the operator a rollout's
+            state.
+        serve: coroutine function that serves the platform's calls for a node.
+    """
+
+    store: MetadataStore
+    dialect: Dialect
+    operator_prefix: str
+    decode_item: Callable[[MirrorItem], Declaration | RolloutOrder | None]
+    encode_status: Callable[[str, Rollout], tuple[str, bytes]]
+    serve: Callable
+
+
+class OperatorDeployment(Deployment):
+    """Configuration mirrored from the operator's keys.
+
+    Args:
+        settings: the checked settings.
+        adapter: speaks the platform's protocol.
+        mesh_key_bytes: key of links and datagrams.
+    """
+
+    is_forwarding_only = True
+    accept_after_stop_s = ACCEPT_AFTER_STOP_S
+    router_class = ForwardingRouter
+
+    def __init__(
+        self, settings: Settings, adapter: OperatorAdapter, mesh_key_bytes: bytes
+    ):
+        self.dialect = adapter.dialect
+        self.mesh_key_bytes = mesh_key_bytes
+        self.configuration = DeclaredConfiguration(
+            self._is_mirrored, adapter.decode_item
+        )
+        self._settings = settings
+        self._adapter = adapter
+        self._feed: Feed | None = None
+        self._node = None
+        self._entries: dict[str, bytes] = {}
+        self._entry_revision = 0
+        self._is_entry_lost = False
+
+    @property
+    def call_counts(self):
+        """Calls of the platform by kind."""
+        return self._adapter.store.call_counts
+
+    def _is_mirrored(self, key: str) -> bool:
+        return key.startswith((self._adapter.operator_prefix, RECORD_PREFIX))
+
+    def make_relay(self, node):
+        self._node = node
+        self._feed = Feed(
+            self._adapter.store,
+            node.table,
+            self.configuration,
+            node.disseminator,
+            self._on_listing,
+        )
+        return self._feed
+
+    def make_rollout_book(self, node):
+        return RecordRolloutBook(node, self._adapter.store, self._adapter.encode_status)
+
+    def make_retry_budget(self, share, node_count):
+        settings = self._settings
+        tokens = RETRY_SHARE_USED * settings.retry_budget_slack / max(1, node_count)
+        earned = RETRY_SHARE_USED * settings.retry_budget_ratio
+        return RetryBudget(earned, tokens, max(1.0, tokens))
+
+    async def learn(self, node):
+        """Mirror the store once, and wait for a configuration to be there."""
+        while not (self._feed.is_listed and self.configuration.is_complete):
+            await curio.sleep(LEARN_STEP_S)
+
+    async def start(self, node):
+        """Serve the platform's calls and keep this node's entry."""
+        await node.scope.spawn_role(self._adapter.serve, node)
+        await node.scope.spawn_role(self._keep_entry)
+        await node.scope.spawn_role(self._introduce_forever)
+
+    def _on_listing(self, listing: Listing) -> None:
+        """Take note of other nodes' entries, and of the loss of the own one."""
+        own_key = ENTRY_PREFIX + self._settings.node_id
+        for item in listing.items:
+            if not item.key.startswith(ENTRY_PREFIX):
+                continue
+            if item.key != own_key:
+                self._note_entry(item)
+            elif item.body is None and item.revision > self._entry_revision:
+                self._is_entry_lost = True
+
+    def _note_entry(self, item: MirrorItem) -> None:
+        if item.body is None:
+            self._entries.pop(item.key, None)
+            return
+        self._entries[item.key] = item.body
+
+    async def _introduce_forever(self) -> None:
+        """Make this node known to some others until it knows any of them."""
+        while True:
+            await curio.sleep(INTRODUCE_INTERVAL_S)
+            if self._entries and not self._node.table.others(MemberState.ALIVE):
+                await self._introduce()
+
+    async def _introduce(self) -> None:
+        membership, table = self._node.membership, self._node.table
+        count = min(MAX_INTRODUCTIONS, len(self._entries))
+        for key in random.sample(list(self._entries), count):
+            try:
+                address = parse_address(self._entries[key].decode("ascii"))
+            except ValueError as error:
+                log.warning("entry of a node not read", key=key, why=str(error))
+                continue
+            await membership.send(address, DatagramKind.PING, 0, (table.own,))
+
+    async def _keep_entry(self) -> None:
+        """Keep this node's entry in the store while the node runs."""
+        lease: Lease | None = None
+        while True:
+            try:
+                lease = await self._refresh_entry(lease)
+            except GuavagapError as error:
+                log.info("entry not kept", kind=error.kind.value, why=error.detail)
+                await curio.sleep(random.uniform(0, ENTRY_RETRY_S))
+                continue
+            await self._wait_for_check()
+
+    async def _wait_for_check(self) -> None:
+        """Wait until the entry has to be renewed or is known to be lost."""
+        steps = int(ENTRY_RENEWAL_S / ENTRY_CHECK_S)
+        for _ in range(steps):
+            if self._is_entry_lost:
+                return
+            await curio.sleep(ENTRY_CHECK_S)
+
+    async def _refresh_entry(self, lease: Lease | None) -> Lease:
+        """Renew the lease, and write the entry when it is not there."""
+        store = self._adapter.store
+        if lease is not None and not await store.keep_lease(lease.lease_id):
+            lease = None
+        if lease is not None and not self._is_entry_lost:
+            return lease
+        if lease is None:
+            lease = await store.grant_lease(ENTRY_TTL_S)
+        key = ENTRY_PREFIX + self._settings.node_id
+        address = format_address(self._settings.mesh_address).encode()
+        outcome = await store.transact({}, [Write(key, address, lease.lease_id)])
+        self._entry_revision = outcome.revision or 0
+        self._is_entry_lost = False
+        log.info("entry written", key=key, revision=self._entry_revision)
+        return lease
+
+
+async def learn_mesh_key(store: MetadataStore) -> bytes:
+    """Return the key of the mesh, creating it when there is none.
+
+    A conditional write decides which of several creators wins; all of them read
+    the winner's key. Waits while the store cannot be reached.
+    """
+    backoff = Backoff(KEY_BACKOFF_FIRST_S, KEY_BACKOFF_LIMIT_S)
+    while True:
+        try:
+            item, _ = await store.get(MESH_KEY)
+            if item is not None:
+                return item.value
+            key_bytes = os.urandom(MESH_KEY_BYTES)
+            outcome = await store.transact({MESH_KEY: 0}, [Write(MESH_KEY, key_bytes)])
+            if outcome.revision is not None:
+                return key_bytes
+        except GuavagapError as error:
+            log.warning("mesh key not learned", kind=error.kind.value, why=error.detail)
+        await curio.sleep(backoff.next_s())
--- /dev/null
+++ b/guavagap/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translates its protocol, decides nothing."""
--- /dev/null
+++ b/guavagap/platform/adapter.py
@@ -0,0 +1,27 @@
+"""Puts the parts of the adapter together."""
+
+from contextlib import asynccontextmanager
+
+from guavagap.addresses import Address
+from guavagap.faults import BlockedAddresses
+from guavagap.operator_deployment import OperatorAdapter
+from guavagap.platform.decode import OPERATOR_PREFIX, decode_item, encode_status
+from guavagap.platform.headers import PLATFORM_DIALECT
+from guavagap.platform.store import open_store_client
+from guavagap.platform.surface import serve_surface
+
+__all__ = ["open_adapter"]
+
+
+@asynccontextmanager
+async def open_adapter(address: Address, blocked: BlockedAddresses):
+    """Yield an :class:`OperatorAdapter` for the platform's store at an address."""
+    async with open_store_client(address, blocked=blocked) as store:
+        yield OperatorAdapter(
+            store,
+            PLATFORM_DIALECT,
+            OPERATOR_PREFIX,
+            decode_item,
+            encode_status,
+            serve_surface,
+        )
--- /dev/null
+++ b/guavagap/platform/headers.py
@@ -0,0 +1,60 @@
+"""Headers that callers and backend servers of the platform use."""
+
+from guavagap.dialect import Dialect
+from guavagap.errors import ErrorKind, answer_for
+
+__all__ = ["PLATFORM_DIALECT"]
+
+NOT_RUN_HEADER = b"x-not-run"
+LOAD_HEADER = b"x-server-load"
+MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
+BAD_GATEWAY_STATUS = 502
+_PROMISING_STATUSES = (408, 421, 429, 503)
+
+
+def _read_load(headers) -> int | None:
+    """Return running and waiting requests: the first two of three numbers."""
+    for name, value in headers:
+        if name == LOAD_HEADER:
+            parts = value.split(b",")
+            if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+                return int(parts[0]) + int(parts[1])
+    return None
+
+
+def _is_refusal(status: int, headers) -> bool:
+    if status == MISDIRECTED_STATUS:
+        return True
+    return any(name == NOT_RUN_HEADER for name, _ in headers)
+
+
+def _status_of(kind: ErrorKind) -> int:
+    """Return a status that promises "not run" exactly where that is known."""
+    answer = answer_for(kind)
+    if answer.is_not_run:
+        return UNAVAILABLE_STATUS if answer.status >= 500 else answer.status
+    if answer.status in _PROMISING_STATUSES:
+        return BAD_GATEWAY_STATUS
+    return answer.status
+
+
+def _error_headers(is_not_run: bool, retry_after_s: float | None):
+    if not is_not_run or retry_after_s is None:
+        return []
+    return [(b"retry-after", b"%.3f" % retry_after_s)]
+
+
+PLATFORM_DIALECT = Dialect(
+    timeout=b"x-deadline-ms",
+    request_id=b"x-request-id",
+    is_id_echoed=True,
+    retry_mark=b"",
+    caller=b"x-caller",
+    expected_server=b"x-expect-instance",
+    via=(),
+    read_load=_read_load,
+    is_refusal=_is_refusal,
+    status_of=_status_of,
+    error_headers=_error_headers,
+)
--- /dev/null
+++ b/guavagap/platform/store.py
@@ -0,0 +1,388 @@
+"""Client of the platform's metadata store, over HTTP.
+
+:class:`StoreClient` speaks the store's protocol in typed calls.
+:class:`PlatformKeyValueStore` offers the product's key-value port on top of it.
+"""
+
+import base64
+import binascii
+import json
+from collections import Counter
+from contextlib import asynccontextmanager
+from urllib.parse import quote
+
+import curio
+import h11
+
+from guavagap.addresses import Address, format_address
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.faults import BlockedAddresses
+from guavagap.http1 import Http1Connection, connect_http1
+from guavagap.http_messages import HttpRequest, HttpResponse, exchange_http
+from guavagap.key_value import ABSENT, KeyValueStore, StoredValue, check_value_size
+from guavagap.metadata_store import (
+    NO_LEASE,
+    Lease,
+    Listing,
+    MetadataStore,
+    MirrorItem,
+    StoreItem,
+    TransactionOutcome,
+    Write,
+)
+
+__all__ = [
+    "PlatformKeyValueStore",
+    "StoreClient",
+    "open_key_value_store",
+    "open_store_client",
+]
+
+# Store calls take 4 ms as a rule and some 0.3 s while the store is slow.
+CALL_TIMEOUT_S = 2.0
+MAX_IDLE_CONNECTIONS = 4
+_BUSY_STATUSES = (429, 503)
+
+
+class StoreClient(MetadataStore):
+    """Calls of the store, over a few kept connections.
+
+    Each call raises :class:`GuavagapError` PLATFORM_UNREACHABLE when there is no
+    answer, after which a write may or may not take effect, also later; and
+    PLATFORM_BUSY when the store says that it did nothing.
+
+    Args:
+        address: where the store listens.
+        call_timeout_s: limit of each call; a watch adds its own wait.
+        blocked: injected faults.
+
+    Attributes:
+        call_counts: calls by kind: get, list, watch, transact, lease, keep.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+        blocked: BlockedAddresses | None = None,
+    ):
+        self.address = address
+        self.call_timeout_s = call_timeout_s
+        self.call_counts: Counter[str] = Counter()
+        self._blocked = blocked or BlockedAddresses()
+        self._idle: list[Http1Connection] = []
+
+    async def get(
+        self, key: str, is_stale_allowed: bool = False
+    ) -> tuple[StoreItem | None, int]:
+        """Return the item of a key, None without one, and the store's revision."""
+        self.call_counts["stale_get" if is_stale_allowed else "get"] += 1
+        target = f"/api/kv-key?key={quote(key, safe='')}"
+        if is_stale_allowed:
+            target += "&allowStale=1"
+        response = await self._call(b"GET", target)
+        if response.status == 404:
+            value = _json_of(response) if response.body else {}
+            return None, int(value.get("asOf", 0))
+        value = self._checked(response)
+        return _decode_item(value), _integer(value, "asOf")
+
+    async def list_prefix(self, prefix: str) -> Listing:
+        """Return every item whose key starts with a prefix."""
+        items: list[MirrorItem] = []
+        as_of = None
+        after = ""
+        while True:
+            self.call_counts["list"] += 1
+            target = f"/api/kv-range?prefix={quote(prefix, safe='')}"
+            if after:
+                target += f"&after={quote(after, safe='')}"
+            value = self._checked(await self._call(b"GET", target))
+            page = [_decode_change(item) for item in _rows(value, "items")]
+            items += page
+            # Pages are no snapshot: a watch has to start before the first one.
+            as_of = _integer(value, "asOf") if as_of is None else as_of
+            if not value.get("hasMore") or not page:
+                return Listing(items, as_of)
+            after = page[-1].key
+
+    async def watch_prefix(self, prefix: str, after: int, wait_s: float) -> Listing:
+        """Wait for changes after a revision, at most ``wait_s`` seconds.
+
+        Raises:
+            GuavagapError: HISTORY_LOST when the store no longer knows them.
+        """
+        self.call_counts["watch"] += 1
+        target = (
+            f"/api/kv-watch?prefix={quote(prefix, safe='')}"
+            f"&after={after}&waitMs={int(wait_s * 1000)}"
+        )
+        response = await self._call(b"GET", target, wait_s=wait_s)
+        if response.status == 410:
+            raise GuavagapError(ErrorKind.HISTORY_LOST, f"after revision {after}")
+        value = self._checked(response)
+        changes = [_decode_change(item) for item in _rows(value, "events")]
+        return Listing(changes, _integer(value, "asOf"))
+
+    async def transact(
+        self,
+        expected: dict[str, int],
+        writes: list[Write],
+        removed: list[str] | None = None,
+    ) -> TransactionOutcome:
+        """Write and remove keys, all or none.
+
+        Args:
+            expected: revision that each key must have; 0 for a key that must not
+                exist.
+            writes: keys to write.
+            removed: keys to remove.
+
+        Raises:
+            GuavagapError: NOT_FOUND when a lease has ended.
+        """
+        self.call_counts["transact"] += 1
+        body = {
+            "expectedRev": [
+                {"key": key, "revision": revision} for key, revision in expected.items()
+            ],
+            "puts": [
+                {
+                    "key": write.key,
+                    "value": base64.b64encode(write.value).decode(),
+                    "lease": write.lease_id,
+                }
+                for write in writes
+            ],
+            "remove": removed or [],
+        }
+        response = await self._call(b"POST", "/api/kv-txn", body)
+        if response.status == 412:
+            held = _rows(_json_of(response), "items")
+            return TransactionOutcome(None, [_decode_item(item) for item in held])
+        if response.status == 404:
+            raise GuavagapError(ErrorKind.NOT_FOUND, "the lease has ended")
+        return TransactionOutcome(_integer(self._checked(response), "revision"), [])
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """Return a new lease."""
+        self.call_counts["lease"] += 1
+        response = await self._call(b"POST", "/api/kv-lease", {"ttlS": ttl_s})
+        value = self._checked(response)
+        return Lease(_integer(value, "lease"), float(value.get("ttlS", ttl_s)))
+
+    async def keep_lease(self, lease_id: int) -> bool:
+        """Renew a lease; return False when it has ended."""
+        self.call_counts["keep"] += 1
+        response = await self._call(b"POST", f"/api/kv-keep/{lease_id}", {})
+        if response.status == 404:
+            return False
+        self._checked(response)
+        return True
+
+    async def end_lease(self, lease_id: int) -> None:
+        """End a lease, which removes its keys."""
+        self.call_counts["lease"] += 1
+        response = await self._call(b"DELETE", f"/api/kv-lease-end/{lease_id}")
+        if response.status != 404:
+            self._checked(response)
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        while self._idle:
+            await self._idle.pop().close()
+
+    def _checked(self, response: HttpResponse) -> dict:
+        if response.status in _BUSY_STATUSES:
+            raise GuavagapError(
+                ErrorKind.PLATFORM_BUSY, f"the store answered {response.status}"
+            )
+        if response.status != 200:
+            raise self._unreachable(f"status {response.status}")
+        return _json_of(response)
+
+    def _unreachable(self, detail: str) -> GuavagapError:
+        address = format_address(self.address)
+        return GuavagapError(ErrorKind.PLATFORM_UNREACHABLE, f"{address}: {detail}")
+
+    async def _call(
+        self, method: bytes, target: str, body=None, wait_s: float = 0
+    ) -> HttpResponse:
+        if self.address in self._blocked:
+            raise self._unreachable("blocked")
+        headers = [(b"host", format_address(self.address).encode())]
+        data = b""
+        if body is not None:
+            headers.append((b"content-type", b"application/json"))
+            data = json.dumps(body).encode()
+        request = HttpRequest(method, target.encode(), headers, data)
+        try:
+            async with curio.timeout_after(self.call_timeout_s + wait_s):
+                return await self._exchange(request)
+        except (OSError, h11.ProtocolError, curio.TaskTimeout, GuavagapError) as error:
+            path = target.partition("?")[0]
+            raise self._unreachable(f"{method.decode()} {path}: {error!r}") from None
+
+    async def _exchange(self, request: HttpRequest) -> HttpResponse:
+        connection = await self._take_connection()
+        try:
+            response = await exchange_http(connection, request)
+        except BaseException:
+            await connection.close()
+            raise
+        if len(self._idle) < MAX_IDLE_CONNECTIONS and connection.start_next_cycle():
+            self._idle.append(connection)
+            return response
+        await connection.close()
+        return response
+
+    async def _take_connection(self) -> Http1Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_silent():
+                return connection
+            await connection.close()
+        return await connect_http1(self.address, self.call_timeout_s)
+
+
+def _json_of(response: HttpResponse) -> dict:
+    try:
+        value = json.loads(response.body)
+    except ValueError as error:
+        raise _garbled(f"no JSON: {error}") from None
+    if not isinstance(value, dict):
+        raise _garbled(f"{type(value).__name__} instead of an object")
+    return value
+
+
+def _garbled(detail: str) -> GuavagapError:
+    return GuavagapError(ErrorKind.PLATFORM_UNREACHABLE, f"garbled answer: {detail}")
+
+
+def _integer(value: dict, name: str) -> int:
+    field = value.get(name)
+    if not isinstance(field, int) or isinstance(field, bool):
+        raise _garbled(f"{name} is {field!r}")
+    return field
+
+
+def _rows(value: dict, name: str) -> list[dict]:
+    rows = value.get(name)
+    if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
+        raise _garbled(f"{name} is no list of objects")
+    return rows
+
+
+def _decode_value(row: dict) -> bytes:
+    try:
+        return base64.b64decode(row["value"], validate=True)
+    except (KeyError, TypeError, binascii.Error) as error:
+        raise _garbled(f"value: {error!r}") from None
+
+
+def _decode_item(row: dict) -> StoreItem:
+    revision = _integer(row, "revision")
+    # A condition on an absent key is answered with revision 0 and no value.
+    value = _decode_value(row) if revision and row.get("value") is not None else b""
+    return StoreItem(str(row.get("key")), value, revision, row.get("lease") or 0)
+
+
+def _decode_change(row: dict) -> MirrorItem:
+    key, revision = str(row.get("key")), _integer(row, "revision")
+    if row.get("tombstone"):
+        return MirrorItem(key, revision, None)
+    return MirrorItem(key, revision, _decode_value(row))
+
+
+class PlatformKeyValueStore(KeyValueStore):
+    """The product's key-value port on the platform's store.
+
+    Args:
+        client: the client that makes the calls.
+    """
+
+    def __init__(self, client: StoreClient):
+        super().__init__()
+        self.client = client
+
+    async def get(self, key):
+        self.call_counts["get"] += 1
+        item, _ = await self._answered(self.client.get(key))
+        return _stored(item)
+
+    async def watch(self, key, revision, wait_s):
+        self.call_counts["watch"] += 1
+        item, as_of = await self._answered(self.client.get(key))
+        if _revision_of(item) != revision:
+            return _stored(item)
+        try:
+            await self._answered(self.client.watch_prefix(key, as_of, wait_s))
+        except GuavagapError as error:
+            if error.kind is not ErrorKind.HISTORY_LOST:
+                raise
+        item, _ = await self._answered(self.client.get(key))
+        return _stored(item)
+
+    async def put(self, key, body, expected, ttl_s=None):
+        self.call_counts["put"] += 1
+        check_value_size(key, body)
+        lease_id = NO_LEASE
+        if ttl_s is not None:
+            lease = await self._answered(self.client.grant_lease(ttl_s))
+            lease_id = lease.lease_id
+        return await self._write(key, expected, [Write(key, body, lease_id)], [])
+
+    async def delete(self, key, expected):
+        self.call_counts["delete"] += 1
+        await self._write(key, expected, [], [key])
+
+    async def _write(self, key, expected, writes, removed) -> str:
+        condition = {key: int(expected) if expected != ABSENT else 0}
+        outcome = await self._answered(self.client.transact(condition, writes, removed))
+        if outcome.revision is None:
+            raise GuavagapError(ErrorKind.CONFLICT, f"{key} was changed meanwhile")
+        return str(outcome.revision)
+
+    async def _answered(self, call):
+        """Await a call; the port has one kind for every failure to get an answer."""
+        try:
+            return await call
+        except GuavagapError as error:
+            if error.kind is ErrorKind.PLATFORM_BUSY:
+                raise GuavagapError(
+                    ErrorKind.PLATFORM_UNREACHABLE, error.detail
+                ) from None
+            raise
+
+
+def _revision_of(item: StoreItem | None) -> str:
+    return ABSENT if item is None else str(item.revision)
+
+
+def _stored(item: StoreItem | None) -> StoredValue | None:
+    return None if item is None else StoredValue(item.value, str(item.revision))
+
+
+@asynccontextmanager
+async def open_store_client(
+    address: Address,
+    call_timeout_s: float = CALL_TIMEOUT_S,
+    blocked: BlockedAddresses | None = None,
+):
+    """Yield a :class:`StoreClient` and close its connections at the end."""
+    client = StoreClient(address, call_timeout_s, blocked)
+    try:
+        yield client
+    finally:
+        await client.close()
+
+
+@asynccontextmanager
+async def open_key_value_store(
+    address: Address,
+    call_timeout_s: float = CALL_TIMEOUT_S,
+    blocked: BlockedAddresses | None = None,
+):
+    """Yield a :class:`PlatformKeyValueStore`; its connections end with the block."""
+    async with open_store_client(address, call_timeout_s, blocked) as client:
+        yield PlatformKeyValueStore(client)
--- /dev/null
+++ b/guavagap/platform/surface.py
@@ -0,0 +1,68 @@
+"""The calls that the platform and backend servers make to a node."""
+
+import json
+from urllib.parse import unquote
+
+from guavagap.errors import GuavagapError
+from guavagap.http_messages import (
+    HttpRequest,
+    HttpResponse,
+    accept_connections,
+    serve_http,
+)
+from guavagap.logs import get_logger
+from guavagap.platform.decode import decode_report
+from guavagap.tcp import open_listener
+
+__all__ = ["serve_surface"]
+
+log = get_logger()
+
+READY_PATH = "/api/ready"
+INSTANCES_PREFIX = "/api/instances/"
+_JSON = [(b"content-type", b"application/json")]
+
+
+async def serve_surface(node) -> None:
+    """Serve readiness checks and heartbeats until cancelled."""
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        return await _handle(node, request)
+
+    async def serve(sock):
+        await serve_http(sock, handle)
+
+    addresses = {node.settings.ready_address, node.settings.report_address}
+    listeners = [open_listener(address) for address in addresses if address]
+    for listener in listeners[1:]:
+        await node.scope.spawn(accept_connections, listener, node.scope, serve)
+    await accept_connections(listeners[0], node.scope, serve)
+
+
+async def _handle(node, request: HttpRequest) -> HttpResponse:
+    path = unquote(request.target.decode("latin-1").partition("?")[0])
+    if path == READY_PATH and request.method == b"GET":
+        is_ready = node.is_ready and not node.is_draining
+        return _answer(200 if is_ready else 503, {})
+    if path.startswith(INSTANCES_PREFIX):
+        server_id = path.removeprefix(INSTANCES_PREFIX)
+        if request.method == b"PUT":
+            return await _report(node, server_id, request.body)
+        if request.method == b"DELETE":
+            await node.take_leave(server_id)
+            return _answer(200, {})
+    return _answer(404, {"error": f"no {request.method.decode()} {path}"})
+
+
+async def _report(node, server_id: str, body: bytes) -> HttpResponse:
+    try:
+        report = decode_report(server_id, body)
+    except GuavagapError as error:
+        log.warning("report refused", server=server_id, why=error.detail)
+        return _answer(400, {"error": error.detail})
+    await node.take_report(report)
+    return _answer(200, {})
+
+
+def _answer(status: int, value: dict) -> HttpResponse:
+    return HttpResponse(status, _JSON, json.dumps(value).encode())
--- a/guavagap/porcelain.py
+++ b/guavagap/porcelain.py
@@ -20,7 +20,7 @@
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.head import Change, Entry
 from guavagap.http_messages import HttpRequest, call_http
-from guavagap.platform import Platform
+from guavagap.key_value import KeyValueStore
 from guavagap.relay import SEEDS_KEY, decode_seeds
 
 __all__ = [
@@ -161,23 +161,25 @@
 
 
 async def apply_files(
-    platform: Platform, paths: list[Path], author: str, message: str
+    platform: KeyValueStore, paths: list[Path], author: str, message: str
 ) -> Commit:
     """Commit documents, all or none; see :func:`commits.apply_documents`."""
     return await commits.apply_documents(platform, _checked(paths), author, message)
 
 
-async def delete(platform: Platform, service: str, author: str, message: str) -> Commit:
+async def delete(
+    platform: KeyValueStore, service: str, author: str, message: str
+) -> Commit:
     """Withdraw a service; see :func:`commits.delete_service`."""
     return await commits.delete_service(platform, service, author, message)
 
 
-async def recover(platform: Platform, above_epoch: int, author: str) -> Commit:
+async def recover(platform: KeyValueStore, above_epoch: int, author: str) -> Commit:
     """Raise the epoch of a head that went back in time."""
     return await commits.raise_epoch(platform, above_epoch, author)
 
 
-async def _entry(platform: Platform, service: str) -> tuple[int, Entry]:
+async def _entry(platform: KeyValueStore, service: str) -> tuple[int, Entry]:
     head, _ = await read_head(platform)
     entry = head["entries"].get(service)
     if entry is None or entry["is_deleted"]:
@@ -185,7 +187,7 @@
     return head["epoch"], entry
 
 
-async def get_document(platform: Platform, service: str) -> AcceptedDocument:
+async def get_document(platform: KeyValueStore, service: str) -> AcceptedDocument:
     """Return the accepted document of a service.
 
     Raises:
@@ -202,7 +204,7 @@
     return json.dumps(document, indent=2, sort_keys=True).splitlines()
 
 
-async def diff_files(platform: Platform, paths: list[Path]) -> list[str]:
+async def diff_files(platform: KeyValueStore, paths: list[Path]) -> list[str]:
     """Return a unified diff between accepted documents and files."""
     lines: list[str] = []
     for document in _checked(paths):
@@ -226,7 +228,7 @@
 
 
 async def list_changes(
-    platform: Platform, limit: int, service: str | None = None
+    platform: KeyValueStore, limit: int, service: str | None = None
 ) -> list[Change]:
     """Return the latest changes of the audit trail, newest first."""
     head, _ = await read_head(platform)
@@ -244,7 +246,7 @@
     return changes
 
 
-async def service_status(platform: Platform, service: str) -> ServiceStatus:
+async def service_status(platform: KeyValueStore, service: str) -> ServiceStatus:
     """Return the verdict on a service.
 
     Raises:
@@ -269,7 +271,7 @@
 
 
 async def wait_for_verdict(
-    platform: Platform,
+    platform: KeyValueStore,
     service: str,
     timeout_s: float,
     on_progress: Callable[[ServiceStatus], None],
@@ -320,7 +322,7 @@
         ) from None
 
 
-async def _first_status(platform: Platform | None, admin: Address | None) -> dict:
+async def _first_status(platform: KeyValueStore | None, admin: Address | None) -> dict:
     if admin is not None:
         return await node_status(admin)
     value = await platform.get(SEEDS_KEY)
@@ -337,7 +339,7 @@
 
 
 async def list_nodes(
-    platform: Platform | None, admin: Address | None
+    platform: KeyValueStore | None, admin: Address | None
 ) -> list[NodeSummary]:
     """Return every node that one node knows, each asked for its own epoch.
 
--- a/guavagap/relay.py
+++ b/guavagap/relay.py
@@ -18,9 +18,9 @@
 from guavagap.dissemination import Disseminator
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.head import Delta, Head, decode_head, digest_of_head
+from guavagap.key_value import ABSENT, KeyValueStore
 from guavagap.logs import get_logger
 from guavagap.members import MemberTable
-from guavagap.platform import ABSENT, Platform
 from guavagap.rendezvous import rendezvous_order
 from guavagap.tasks import TaskScope
 
@@ -101,7 +101,7 @@
 
     def __init__(
         self,
-        platform: Platform,
+        platform: KeyValueStore,
         table: MemberTable,
         configuration: Configuration,
         disseminator: Disseminator,
--- a/guavagap/retries.py
+++ b/guavagap/retries.py
@@ -1,9 +1,9 @@
 """Retries: one table that decides, and a budget that bounds them.
 
 The budget is a share of recent successes, so retries cannot multiply the load
-of a service that fails. Only one layer of a chain of calls retries: a request
-that is itself part of a retry carries ``RETRY_HEADER``, and layers below leave
-it at one attempt.
+of a service that fails. Only attempts that reached a backend server cost
+budget. Only one layer of a chain of calls retries: a request that is itself part
+of a retry carries a mark, and layers below leave it at one attempt.
 """
 
 from enum import Enum
@@ -13,17 +13,16 @@
 
 __all__ = [
     "Failure",
-    "MAX_ATTEMPTS",
-    "RETRY_HEADER",
+    "MAX_PLACEMENTS",
     "RetryBudget",
     "RetryRule",
+    "is_arrival",
     "may_retry",
     "rule_for",
 ]
 
-MAX_ATTEMPTS = 3
+MAX_PLACEMENTS = 8
 MIN_TIME_LEFT_S = 0.005
-RETRY_HEADER = b"guavagap-retry"
 BUDGET_START = 10.0
 BUDGET_LIMIT = 100.0
 
@@ -47,7 +46,9 @@
         is_body_kept: whether the whole body can be sent again.
         is_answer_started: whether the caller has seen any of an answer.
         is_marked: whether a layer above is already retrying.
-        attempts: attempts made so far.
+        attempts: attempts so far that may have reached a backend server.
+        max_attempts: how many of those are allowed.
+        placements: attempts so far, those that reached none included.
         time_left_s: until the deadline.
     """
 
@@ -58,12 +59,15 @@
     is_answer_started: bool
     is_marked: bool
     attempts: int
+    max_attempts: int
+    placements: int
     time_left_s: float
 
 
 _RULES = {
     ErrorKind.NO_BACKEND_SERVER: RetryRule.NEVER,
     ErrorKind.OVERLOADED: RetryRule.IF_NOT_RUN,
+    ErrorKind.SLOTS_TAKEN: RetryRule.IF_NOT_RUN,
     ErrorKind.DRAINING: RetryRule.IF_NOT_RUN,
     ErrorKind.REFUSED_BY_BACKEND_SERVER: RetryRule.IF_NOT_RUN,
     ErrorKind.CONNECT_FAILED: RetryRule.IF_NOT_RUN,
@@ -71,7 +75,24 @@
     ErrorKind.LINK_LOST: RetryRule.IF_IDEMPOTENT,
     ErrorKind.BACKEND_SERVER_LOST: RetryRule.ONCE_IF_IDEMPOTENT,
     ErrorKind.BACKEND_SERVER_PROTOCOL: RetryRule.ONCE_IF_IDEMPOTENT,
+    ErrorKind.BODY_CUT_SHORT: RetryRule.ONCE_IF_IDEMPOTENT,
 }
+_NOT_ARRIVED = frozenset(
+    (
+        ErrorKind.NO_BACKEND_SERVER,
+        ErrorKind.OVERLOADED,
+        ErrorKind.SLOTS_TAKEN,
+        ErrorKind.DRAINING,
+        ErrorKind.CONNECT_FAILED,
+        ErrorKind.LINK_UNREACHABLE,
+        ErrorKind.DEADLINE_BEFORE_RUN,
+    )
+)
+
+
+def is_arrival(kind: ErrorKind) -> bool:
+    """Return whether a failed attempt may have reached a backend server."""
+    return kind not in _NOT_ARRIVED
 
 
 def rule_for(kind: ErrorKind) -> RetryRule:
@@ -83,7 +104,11 @@
     """Return whether another attempt is allowed, leaving the budget aside."""
     if failure.is_answer_started or failure.is_marked or not failure.is_body_kept:
         return False
-    if failure.attempts >= MAX_ATTEMPTS or failure.time_left_s < MIN_TIME_LEFT_S:
+    if failure.attempts >= failure.max_attempts:
+        return False
+    if failure.placements >= MAX_PLACEMENTS:
+        return False
+    if failure.time_left_s < MIN_TIME_LEFT_S:
         return False
     rule = rule_for(failure.kind)
     if rule is RetryRule.IF_NOT_RUN:
@@ -100,15 +125,20 @@
 
     Args:
         share: tokens earned by each success.
+        start: tokens at first.
+        limit: tokens that can be held.
     """
 
-    def __init__(self, share: float):
+    def __init__(
+        self, share: float, start: float = BUDGET_START, limit: float = BUDGET_LIMIT
+    ):
         self.share = share
-        self._tokens = BUDGET_START
+        self._tokens = start
+        self._limit = limit
 
     def note_success(self) -> None:
         """Earn a share of a retry."""
-        self._tokens = min(BUDGET_LIMIT, self._tokens + self.share)
+        self._tokens = min(self._limit, self._tokens + self.share)
 
     def try_spend(self) -> bool:
         """Take one retry out of the budget if there is one."""
--- /dev/null
+++ b/guavagap/rollout_books.py
@@ -0,0 +1,244 @@
+"""Where rollouts are read from and decisions on them are kept."""
+
+import time
+from abc import ABC, abstractmethod
+from typing import Callable
+
+from guavagap.commits import make_change, swap_head
+from guavagap.declarations import RolloutOrder
+from guavagap.errors import GuavagapError
+from guavagap.evidence import COLD_REQUESTS
+from guavagap.head import Entry, Head, Rollout
+from guavagap.key_value import KeyValueStore
+from guavagap.logs import get_logger
+from guavagap.metadata_store import MetadataStore, Write
+from guavagap.rollout_records import RolloutRecord, encode_record, record_key
+from guavagap.rollouts import ORDERED_POLICY, SEQUENTIAL_POLICY, Decision, Policy
+
+__all__ = ["HeadRolloutBook", "RecordRolloutBook", "RolloutBook"]
+
+log = get_logger()
+
+OPEN_STATES = ("running", "paused")
+# Ordered rollouts take seconds, so evidence has to flow in tenths of a second.
+ORDERED_INTERVAL_S = 0.3
+# Their backend servers are warm after some requests each.
+ORDERED_COLD_REQUESTS = 5
+
+
+class RolloutBook(ABC):
+    """Rollouts of every service.
+
+    Attributes:
+        interval_s: time between evaluations.
+        policy: how rollouts are stepped and judged.
+        cold_requests: first requests of a backend server that do not count as slow.
+    """
+
+    interval_s: float
+    policy: Policy
+    cold_requests: int
+
+    @abstractmethod
+    def open_rollouts(self) -> dict[str, Rollout]:
+        """Return the rollouts without a verdict, by service."""
+
+    async def start_pending(self, is_evaluator: Callable[[str], bool]) -> None:
+        """Begin rollouts that were ordered and that this node evaluates."""
+
+    @abstractmethod
+    async def write(self, service: str, rollout: Rollout, decision: Decision) -> None:
+        """Keep a decision, unless the rollout has changed meanwhile."""
+
+
+class HeadRolloutBook(RolloutBook):
+    """Rollouts in the head, where teams commit documents.
+
+    Args:
+        node: the node's parts; see :class:`guavagap.node.Node`.
+        platform: holds the head.
+    """
+
+    interval_s = 1.0
+    policy = SEQUENTIAL_POLICY
+    cold_requests = COLD_REQUESTS
+
+    def __init__(self, node, platform: KeyValueStore):
+        self._node = node
+        self._platform = platform
+
+    def open_rollouts(self):
+        rollouts = {}
+        for service, entry in self._node.configuration.head["entries"].items():
+            rollout = entry["rollout"]
+            if rollout is not None and rollout["state"] in OPEN_STATES:
+                rollouts[service] = rollout
+        return rollouts
+
+    async def write(self, service, rollout, decision):
+        change = make_change("rollout", self._node.settings.node_id, decision.reason)
+
+        async def edit(head: Head) -> Head | None:
+            entry = head["entries"].get(service)
+            if entry is None or entry["rollout"] != rollout:
+                return None
+            epoch = head["epoch"] + 1
+            change["versions"] = {service: entry["version"]}
+            new_entry = _decided_entry(entry, decision) | {"epoch": epoch}
+            entries = head["entries"] | {service: new_entry}
+            return {"epoch": epoch, "change": None, "entries": entries}
+
+        try:
+            commit = await swap_head(self._platform, change, edit)
+        except GuavagapError as error:
+            log.info("decision not written", service=service, why=str(error))
+            return
+        if commit.versions:
+            _log_decision(service, rollout, decision)
+
+
+class RecordRolloutBook(RolloutBook):
+    """Rollouts that an operator's system orders, kept in records of the store.
+
+    Args:
+        node: the node's parts; see :class:`guavagap.node.Node`.
+        store: holds the records.
+        encode_status: returns key and value that tell the operator the state.
+    """
+
+    interval_s = ORDERED_INTERVAL_S
+    policy = ORDERED_POLICY
+    cold_requests = ORDERED_COLD_REQUESTS
+
+    def __init__(
+        self,
+        node,
+        store: MetadataStore,
+        encode_status: Callable[[str, Rollout], tuple[str, bytes]],
+    ):
+        self._node = node
+        self._store = store
+        self._encode_status = encode_status
+
+    def open_rollouts(self):
+        configuration = self._node.configuration
+        return {
+            service: record.rollout
+            for service, record in configuration.records.items()
+            if record.rollout["state"] in OPEN_STATES and not self._is_pending(service)
+        }
+
+    def _is_pending(self, service: str) -> bool:
+        order = self._node.configuration.orders.get(service)
+        record = self._node.configuration.records.get(service)
+        if order is None:
+            return False
+        return record is None or record.order_revision < order[0]
+
+    async def start_pending(self, is_evaluator):
+        configuration = self._node.configuration
+        for service, (revision, order) in list(configuration.orders.items()):
+            if self._is_pending(service) and is_evaluator(service):
+                await self._start(service, revision, order)
+
+    async def _start(self, service: str, revision: int, order: RolloutOrder) -> None:
+        held = self._node.configuration.records.get(service)
+        now_s = time.time()
+        state = self._node.configuration.snapshot.services.get(service)
+        if state is None:
+            return
+        rollout: Rollout = {
+            "from_version": self._node.router.prevailing_version(state),
+            "to_version": order.to_version,
+            "state": "running",
+            "weight_permille": 0,
+            "started_at_s": now_s,
+            "stage_started_at_s": now_s,
+            "complete_by_s": now_s + order.duration_s,
+            "reason": "ordered",
+        }
+        record = RolloutRecord(
+            revision,
+            held.stable_version if held else "",
+            held.rolled_back_versions if held else (),
+            rollout,
+        )
+        if await self._write_record(service, record):
+            log.info("rollout begun", service=service, **rollout)
+
+    async def write(self, service, rollout, decision):
+        record = self._node.configuration.records.get(service)
+        if record is None or record.rollout != rollout:
+            return
+        if await self._write_record(service, _decided_record(record, decision)):
+            _log_decision(service, rollout, decision)
+
+    async def _write_record(self, service: str, record: RolloutRecord) -> bool:
+        """Write a record and the state for the operator in one transaction.
+
+        The answer may be lost: the record then shows up in the mirror, or the
+        same decision is made again.
+        """
+        key = record_key(service)
+        expected = {key: self._node.configuration.revision_of(key)}
+        status_key, status = self._encode_status(service, record.rollout)
+        writes = [Write(key, encode_record(record)), Write(status_key, status)]
+        try:
+            outcome = await self._store.transact(expected, writes)
+        except GuavagapError as error:
+            log.info("decision not written", service=service, why=str(error))
+            return False
+        if outcome.revision is None:
+            log.info("decision not written", service=service, why="changed meanwhile")
+        return outcome.revision is not None
+
+
+def _log_decision(service: str, rollout: Rollout, decision: Decision) -> None:
+    log.info(
+        "rollout decision",
+        service=service,
+        version=rollout["to_version"],
+        weight_permille=decision.weight_permille,
+        is_complete=decision.is_complete,
+        is_bad=decision.finding is not None,
+        reason=decision.reason,
+    )
+
+
+def _decided_rollout(rollout: Rollout, decision: Decision) -> Rollout:
+    """Return a rollout after a decision."""
+    rollout = rollout | {"reason": decision.reason}
+    if decision.finding is not None:
+        return rollout | {"state": "rolled_back", "weight_permille": 0}
+    if decision.is_complete:
+        return rollout | {"state": "completed"}
+    if decision.weight_permille != rollout["weight_permille"]:
+        return rollout | {
+            "weight_permille": decision.weight_permille,
+            "stage_started_at_s": time.time(),
+        }
+    return rollout
+
+
+def _decided_entry(entry: Entry, decision: Decision) -> Entry:
+    """Return an entry of the head after a decision."""
+    rollout = _decided_rollout(entry["rollout"], decision)
+    entry = entry | {"rollout": rollout}
+    if rollout["state"] == "rolled_back":
+        versions = [*entry["rolled_back_versions"], rollout["to_version"]]
+        return entry | {"rolled_back_versions": versions}
+    if rollout["state"] == "completed":
+        return entry | {"stable_version": rollout["to_version"]}
+    return entry
+
+
+def _decided_record(record: RolloutRecord, decision: Decision) -> RolloutRecord:
+    """Return a record after a decision."""
+    rollout = _decided_rollout(record.rollout, decision)
+    record = record._replace(rollout=rollout)
+    if rollout["state"] == "rolled_back":
+        versions = (*record.rolled_back_versions, rollout["to_version"])
+        return record._replace(rolled_back_versions=versions)
+    if rollout["state"] == "completed":
+        return record._replace(stable_version=rollout["to_version"])
+    return record
--- a/guavagap/rollouts.py
+++ b/guavagap/rollouts.py
@@ -16,6 +16,7 @@
 __all__ = [
     "Decision",
     "Finding",
+    "ORDERED_POLICY",
     "Policy",
     "SEQUENTIAL_POLICY",
     "THRESHOLD_POLICY",
@@ -25,7 +26,6 @@
 
 FULL_WEIGHT_PERMILLE = 1000
 MIN_STAGE_S = 2.0
-FINISH_EARLY_SHARE = 0.1
 EXCESS_SHARES = (0.05, 0.2, 0.5, 0.9)
 SLOW_SHARE = 0.1
 MIN_BASELINE_SHARE = 0.002
@@ -43,6 +43,7 @@
         failing_ratio: with a threshold instead of the sequential test, how many
             times the old version's failure share is too much; 0 for the test.
         min_requests: with a threshold, requests needed for a judgement.
+        finish_early_share: share of the time that is left over at the end.
     """
 
     weights_permille: tuple[int, ...]
@@ -50,6 +51,7 @@
     false_alarm: float
     failing_ratio: float
     min_requests: int
+    finish_early_share: float = 0.1
 
 
 SEQUENTIAL_POLICY = Policy(
@@ -58,6 +60,9 @@
 THRESHOLD_POLICY = Policy(
     (10, 50, 200, 500, 1000), (0.2, 0.2, 0.2, 0.2, 0.2), 0.0, 3.0, 20
 )
+# An order leaves seconds: most of them go to a weight that is below the share of
+# requests that a bad version may get, a tenth.
+ORDERED_POLICY = Policy((30, 80, 300, 1000), (0.15, 0.45, 0.2, 0.2), 1e-5, 0.0, 0, 0.2)
 
 
 class Finding(NamedTuple):
@@ -226,7 +231,7 @@
     """Return when the present stage has lasted its share of the time left."""
     started_s = rollout["stage_started_at_s"]
     whole_s = rollout["complete_by_s"] - rollout["started_at_s"]
-    target_s = rollout["complete_by_s"] - FINISH_EARLY_SHARE * max(0.0, whole_s)
+    target_s = rollout["complete_by_s"] - policy.finish_early_share * max(0.0, whole_s)
     left_s = max(0.0, target_s - started_s)
     shares = policy.time_shares[stage - 1 :]
     return started_s + max(MIN_STAGE_S, left_s * shares[0] / sum(shares))
--- a/guavagap/routing.py
+++ b/guavagap/routing.py
@@ -9,11 +9,12 @@
 import random
 import time
 
+from guavagap.announcements import DEFAULT_POOL
 from guavagap.directory import Directory, Target
 from guavagap.rendezvous import rendezvous_order
-from guavagap.snapshot import CompiledRoute, ServiceState
+from guavagap.snapshot import CompiledRoute, RouteShare, ServiceState
 
-__all__ = ["Router", "saturation"]
+__all__ = ["ForwardingRouter", "Router", "saturation"]
 
 FULL_WEIGHT_PERMILLE = 1000
 SUBSET = 2
@@ -54,15 +55,39 @@
         self._is_rolled_back = is_rolled_back
         self._own_id = own_id
         self._orders: dict[tuple[str, ...], list[int]] = {}
+        self._credits: dict[tuple, list[float]] = {}
         self._spread: dict[str, int] = {}
 
-    def choose_version(self, route: CompiledRoute, sticky_value: bytes | None) -> str:
+    def choose_share(self, route: CompiledRoute) -> RouteShare:
+        """Return the service that a request of a route goes to.
+
+        Weights are kept exactly by smooth weighted round robin, which starts at a
+        random phase, so that many nodes with few requests keep them together too.
+        """
+        if len(route.shares) == 1:
+            return route.shares[0]
+        weights = tuple(share.weight for share in route.shares)
+        key = (route.name, weights)
+        credits = self._credits.get(key)
+        if credits is None:
+            if len(self._credits) >= MAX_ORDERS:
+                self._credits.clear()
+            total = sum(weights)
+            credits = [random.uniform(0, total) for _ in weights]
+            self._credits[key] = credits
+        for index, weight in enumerate(weights):
+            credits[index] += weight
+        best = max(range(len(weights)), key=credits.__getitem__)
+        credits[best] -= sum(weights)
+        return route.shares[best]
+
+    def choose_version(self, share: RouteShare, sticky_value: bytes | None) -> str:
         """Return the version that a request goes to.
 
         The weight is kept exactly by an accumulator that starts at a random
         phase, so that many nodes with few requests keep it together as well.
         """
-        state = route.service
+        state = share.service
         if not self._is_rollout_open(state):
             return state.stable_version
         if sticky_value is not None:
@@ -75,7 +100,12 @@
     def _is_rollout_open(self, state: ServiceState) -> bool:
         if not state.to_version or not state.weight_permille:
             return False
-        return not self._is_rolled_back(state.service, state.to_version)
+        return not self._is_refused(state, state.to_version)
+
+    def _is_refused(self, state: ServiceState, version: str) -> bool:
+        if version in state.refused_versions:
+            return True
+        return self._is_rolled_back(state.service, version)
 
     def _take_turn(self, state: ServiceState) -> bool:
         sum_permille = self._spread.get(state.service)
@@ -86,60 +116,85 @@
         self._spread[state.service] = sum_permille % FULL_WEIGHT_PERMILLE
         return is_new
 
-    def allowed_versions(self, route: CompiledRoute, first: str) -> list[str]:
+    def allowed_versions(self, share: RouteShare, first: str) -> list[str]:
         """Return the versions that may serve a request, the chosen one first.
 
         The stable version stands in when the new one has no backend server.
         Versions that no document names serve only when those have none, and a
         rolled back version never does.
         """
-        state = route.service
-        versions = [first]
-        if state.stable_version != first:
-            versions.append(state.stable_version)
+        state = share.service
+        versions = [first or self.prevailing_version(state)]
+        stable = state.stable_version or self.prevailing_version(state)
+        if stable not in versions:
+            versions.append(stable)
         if self._is_rollout_open(state) and state.to_version not in versions:
             versions.append(state.to_version)
         return [
             version
             for version in versions
-            if not self._is_rolled_back(state.service, version)
+            if version and not self._is_refused(state, version)
         ]
 
-    def choose_target(
-        self, route: CompiledRoute, version: str, excluded: set[str]
-    ) -> Target | None:
-        """Return a target for a request, or None when there is none.
+    def prevailing_version(self, state: ServiceState) -> str:
+        """Return the version of most backend servers, the one to come left out.
 
-        Args:
-            route: the request's route.
-            version: the version chosen first.
-            excluded: backend servers already tried.
+        It stands for the stable version where the configuration names none.
         """
-        pool = route.pool
-        for allowed in self.allowed_versions(route, version):
+        counts = self._directory.version_counts(state.service, DEFAULT_POOL)
+        counts = {
+            version: number
+            for version, number in counts.items()
+            if version != state.to_version and not self._is_refused(state, version)
+        }
+        return max(sorted(counts), key=counts.__getitem__, default="")
+
+    def _targets(
+        self, share: RouteShare, version: str, excluded: set[str]
+    ) -> tuple[Target, ...]:
+        """Return the targets of the first allowed version that has any."""
+        pool = share.pool
+        for allowed in self.allowed_versions(share, version):
             targets = self._directory.targets(pool.service, pool.name, allowed)
             if excluded:
                 targets = tuple(
                     item for item in targets if item.server.server_id not in excluded
                 )
             if targets:
-                return self._choose_among(route, targets)
-        return None
+                return targets
+        return ()
+
+    def count_targets(self, share: RouteShare, version: str) -> int:
+        """Return among how many targets a request can choose."""
+        return len(self._targets(share, version, set()))
+
+    def choose_target(
+        self,
+        share: RouteShare,
+        version: str,
+        excluded: set[str],
+        busy: set[str] = frozenset(),
+    ) -> Target | None:
+        """Return a target for a request, or None when there is none.
 
-    def _choose_among(
-        self, route: CompiledRoute, targets: tuple[Target, ...]
-    ) -> Target:
+        Args:
+            share: the service that the request goes to.
+            version: the version chosen first.
+            excluded: backend servers already tried.
+            busy: backend servers that had no free slot a moment ago; they are
+                left out while there are others.
+        """
+        targets = self._targets(share, version, excluded)
+        free = tuple(item for item in targets if item.server.server_id not in busy)
+        targets = free or targets
+        return self._choose_among(share, targets) if targets else None
+
+    def _choose_among(self, share: RouteShare, targets: tuple[Target, ...]) -> Target:
         if len(targets) == 1:
             return targets[0]
         now_s = time.monotonic()
-        healthy = [
-            item
-            for item in self._in_order(targets)
-            if item.health.ejected_until_s <= now_s and not item.is_suspect
-        ]
-        if len(healthy) < len(targets) * route.pool.min_available_share:
-            healthy = list(targets)
-        limit = route.pool.max_in_flight
+        healthy = self._healthy(share, self._in_order(targets), now_s)
+        limit = share.pool.max_in_flight
         near = self._nearest_unsaturated(healthy, limit, now_s)
         if len(near) == 1:
             return near[0]
@@ -147,6 +202,19 @@
         first_load = saturation(first, limit, now_s)
         return first if first_load <= saturation(second, limit, now_s) else second
 
+    def _healthy(
+        self, share: RouteShare, targets: list[Target], now_s: float
+    ) -> list[Target]:
+        """Return the targets that work, or all when too few of them do."""
+        healthy = [
+            item
+            for item in targets
+            if item.health.ejected_until_s <= now_s and not item.is_suspect
+        ]
+        if len(healthy) < len(targets) * share.pool.min_available_share:
+            return targets
+        return healthy
+
     def _in_order(self, targets: tuple[Target, ...]) -> list[Target]:
         """Return targets in this node's own order of preference.
 
@@ -177,6 +245,26 @@
         return (in_region or free)[:SUBSET] or targets
 
 
+class ForwardingRouter(Router):
+    """Choice of a target where every request passes its node's admission.
+
+    There are no permits to save, so any target may be taken: the least loaded of
+    the own failure domain while one has a free slot, else the least loaded of all.
+    """
+
+    def _choose_among(self, share: RouteShare, targets: tuple[Target, ...]) -> Target:
+        now_s = time.monotonic()
+        healthy = self._healthy(share, list(targets), now_s)
+        loads = [
+            (saturation(item, None, now_s), random.random(), item) for item in healthy
+        ]
+        near = [row for row in loads if row[2].failure_domain == self._own_domain]
+        best_near = min(near, default=None)
+        if best_near is not None and best_near[0] < 1.0:
+            return best_near[2]
+        return min(loads)[2]
+
+
 def _sticky_position(state: ServiceState, sticky_value: bytes) -> int:
     key = f"{state.service}/{state.to_version}/".encode() + sticky_value
     code = hashlib.blake2b(key, digest_size=8).digest()
--- a/guavagap/schemas/mesh.capnp
+++ b/guavagap/schemas/mesh.capnp
@@ -62,16 +62,20 @@
   body @6 :Data;
   isComplete @7 :Bool;
   isIdempotent @8 :Bool;
+  priority @9 :UInt8;
+  maxWaitMs @10 :UInt32;
 }
 struct StreamData { streamId @0 :UInt64; body @1 :Data; isComplete @2 :Bool; }
 struct StreamCredit { streamId @0 :UInt64; creditBytes @1 :UInt32; }
-struct StreamReset { streamId @0 :UInt64; kind @1 :Text; detail @2 :Text; isNotRun @3 :Bool; }
+struct StreamReset { streamId @0 :UInt64; kind @1 :Text; detail @2 :Text; isNotRun @3 :Bool; load @4 :UInt16; }
 struct StreamAnswer {
   streamId @0 :UInt64;
   status @1 :UInt16;
   headers @2 :List(Header);
   body @3 :Data;
   isComplete @4 :Bool;
+  load @5 :UInt16;
+  isChunked @6 :Bool;
 }
 
 struct PermitDemand { serverId @0 :Text; wanted @1 :UInt16; held @2 :UInt16; }
--- a/guavagap/settings.py
+++ b/guavagap/settings.py
@@ -13,7 +13,9 @@
 from guavagap.logs import LOG_LEVELS
 
 __all__ = [
+    "DEPLOYMENTS",
     "MESH_KEY_VARIABLE",
+    "OPERATOR_DEPLOYMENT",
     "Settings",
     "daemon_options",
     "parse_platform_url",
@@ -21,6 +23,9 @@
 ]
 
 MESH_KEY_VARIABLE = "GUAVAGAP_MESH_KEY"
+DOCUMENTS_DEPLOYMENT = "documents"
+OPERATOR_DEPLOYMENT = "operator"
+DEPLOYMENTS = (DOCUMENTS_DEPLOYMENT, OPERATOR_DEPLOYMENT)
 MESH_KEY_MIN_BYTES = 16
 MESH_KEY_MAX_BYTES = 64
 _NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?")
@@ -50,6 +55,13 @@
     max_caller_connections: int
     garbage_collector: str
     allow_fault_injection: bool
+    deployment: str
+    service: str
+    ready_address: Address | None
+    report_address: Address | None
+    report_ttl_s: float
+    retry_budget_ratio: float
+    retry_budget_slack: float
 
 
 class _AddressType(click.ParamType):
@@ -164,6 +176,41 @@
         show_default=True,
         help="How Python's collector runs: rarely, or as Python ships it.",
     ),
+    click.option(
+        "--deployment",
+        default=DOCUMENTS_DEPLOYMENT,
+        type=click.Choice(DEPLOYMENTS),
+        show_default=True,
+        help="Who declares configuration: teams by documents, or an operator's system.",
+    ),
+    click.option(
+        "--service", default="", help="The service of the backend server on this VM."
+    ),
+    click.option(
+        "--ready-address",
+        type=_AddressType(),
+        help="Where an operator's platform asks whether this node is ready.",
+    ),
+    click.option(
+        "--report-address",
+        type=_AddressType(),
+        help="Where backend servers report to this node.",
+    ),
+    _seconds_option("--report-ttl-s", 6.0, 0.1, 600),
+    click.option(
+        "--retry-budget-ratio",
+        default=0.2,
+        type=click.FloatRange(0, 1),
+        show_default=True,
+        help="Retries that all nodes may make, as a share of a service's requests.",
+    ),
+    click.option(
+        "--retry-budget-slack",
+        default=64.0,
+        type=click.FloatRange(0, 100_000),
+        show_default=True,
+        help="Retries that all nodes may make beyond that share.",
+    ),
     click.option(
         "--allow-fault-injection",
         is_flag=True,
@@ -205,4 +252,18 @@
             f"--suspicion-timeout-s {options['suspicion_timeout_s']}: allowed is"
             f" more than --probe-interval-s ({options['probe_interval_s']})",
         )
+    if options["deployment"] == OPERATOR_DEPLOYMENT:
+        _check_operator_options(options)
+        # The key is agreed on through the platform's store.
+        return Settings(mesh_key_bytes=b"", **options)
     return Settings(mesh_key_bytes=_read_mesh_key(), **options)
+
+
+def _check_operator_options(options: dict) -> None:
+    for name in ("service", "ready_address", "report_address"):
+        if not options[name]:
+            flag = "--" + name.replace("_", "-")
+            raise GuavagapError(
+                ErrorKind.SETTING_INVALID,
+                f"{flag}: required with --deployment {OPERATOR_DEPLOYMENT}",
+            )
--- a/guavagap/snapshot.py
+++ b/guavagap/snapshot.py
@@ -6,6 +6,8 @@
 
 from typing import NamedTuple
 
+from guavagap.announcements import DEFAULT_POOL
+from guavagap.declarations import Declaration, DeclaredRoute
 from guavagap.documents import Document
 from guavagap.head import Entry
 
@@ -13,8 +15,10 @@
     "CompiledPool",
     "CompiledRoute",
     "EMPTY_SNAPSHOT",
+    "RouteShare",
     "ServiceState",
     "Snapshot",
+    "build_declared_snapshot",
     "build_snapshot",
     "find_route",
 ]
@@ -22,6 +26,8 @@
 ANY_HOST = b"*"
 DEFAULT_MIN_AVAILABLE_SHARE = 0.5
 DEFAULT_RETRY_SHARE = 0.1
+DEFAULT_PRIORITY = 1
+DEFAULT_MAX_ATTEMPTS = 3
 
 
 class CompiledPool(NamedTuple):
@@ -37,8 +43,11 @@
     """What of a service's entry concerns each request.
 
     Attributes:
+        stable_version: version that carries all other traffic; "" when the
+            configuration names none.
         to_version: the version that is taking over, or "" outside a rollout.
         weight_permille: share of requests for ``to_version``.
+        refused_versions: versions with a final negative verdict.
     """
 
     service: str
@@ -47,10 +56,28 @@
     stable_version: str
     to_version: str
     weight_permille: int
+    refused_versions: frozenset[str] = frozenset()
+
+
+class RouteShare(NamedTuple):
+    """One service of a route and its weight among the route's services."""
+
+    pool: CompiledPool
+    service: ServiceState
+    weight: int
 
 
 class CompiledRoute(NamedTuple):
-    """A route, ready to be matched against requests."""
+    """A route, ready to be matched against requests.
+
+    Attributes:
+        path_prefix: without a slash at its end.
+        is_slash_required: whether the path has to go on with a slash.
+        target_latency_s: an answer within this time is worth most.
+        priority: 0 is the most urgent.
+        max_attempts: how many backend servers may be sent one request.
+        shares: where its requests go; one for a route that is not split.
+    """
 
     name: str
     host: bytes
@@ -60,19 +87,32 @@
     timeout_s: float
     retry_share: float
     sticky_header: bytes | None
-    pool: CompiledPool
-    service: ServiceState
+    shares: tuple[RouteShare, ...]
+    is_slash_required: bool
+    target_latency_s: float
+    priority: int
+    max_attempts: int
+
+    @property
+    def pool(self) -> CompiledPool:
+        """The pool of a route that is not split."""
+        return self.shares[0].pool
+
+    @property
+    def service(self) -> ServiceState:
+        """The service of a route that is not split."""
+        return self.shares[0].service
 
 
 class Snapshot(NamedTuple):
     """Everything that routing needs, at one epoch.
 
     Attributes:
-        routes_by_host: routes of each host, longest path prefix first.
+        routes_by_host: routes of each host by path prefix.
     """
 
     epoch: int
-    routes_by_host: dict[bytes, tuple[CompiledRoute, ...]]
+    routes_by_host: dict[bytes, dict[bytes, tuple[CompiledRoute, ...]]]
     services: dict[str, ServiceState]
 
 
@@ -116,8 +156,11 @@
                 route["timeout_s"],
                 route.get("retry_share", DEFAULT_RETRY_SHARE),
                 None if sticky is None else sticky.encode(),
-                pools[route["pool"]],
-                state,
+                (RouteShare(pools[route["pool"]], state, 1),),
+                False,
+                route["timeout_s"],
+                DEFAULT_PRIORITY,
+                DEFAULT_MAX_ATTEMPTS,
             )
         )
     return routes
@@ -132,32 +175,71 @@
         epoch: the epoch applied.
         held: entry and document of each service; no document when deleted.
     """
-    by_host: dict[bytes, list[CompiledRoute]] = {}
+    routes = []
     services = {}
     for service, (entry, document) in held.items():
         if document is None:
             continue
         services[service] = state = _compile_service(service, entry)
-        for route in _compile_routes(document, state):
-            by_host.setdefault(route.host, []).append(route)
-    sorted_by_host = {
-        host: tuple(sorted(routes, key=_match_order))
-        for host, routes in by_host.items()
-    }
-    return Snapshot(epoch, sorted_by_host, services)
+        routes += _compile_routes(document, state)
+    return Snapshot(epoch, _index_routes(routes), services)
 
 
-def _match_order(route: CompiledRoute) -> tuple:
-    return (-len(route.path_prefix), route.methods is None, route.path_prefix)
+def build_declared_snapshot(
+    epoch: int, declaration: Declaration, states: dict[str, ServiceState]
+) -> Snapshot:
+    """Build the snapshot of a declared configuration.
+
+    Args:
+        epoch: the epoch applied.
+        declaration: a checked declaration.
+        states: the state of each of its services.
+    """
+    pools = {
+        service: CompiledPool(service, DEFAULT_POOL, DEFAULT_MIN_AVAILABLE_SHARE, None)
+        for service in states
+    }
+    routes = [
+        _compile_declared_route(route, pools, states) for route in declaration.routes
+    ]
+    return Snapshot(epoch, _index_routes(routes), states)
+
+
+def _compile_declared_route(
+    route: DeclaredRoute,
+    pools: dict[str, CompiledPool],
+    states: dict[str, ServiceState],
+) -> CompiledRoute:
+    shares = tuple(
+        RouteShare(pools[share.service], states[share.service], share.weight)
+        for share in route.shares
+    )
+    return CompiledRoute(
+        route.name,
+        route.host.lower().encode(),
+        route.path_prefix.rstrip("/").encode(),
+        None,
+        route.is_idempotent,
+        route.timeout_s,
+        DEFAULT_RETRY_SHARE,
+        None,
+        shares,
+        True,
+        route.target_latency_s,
+        route.priority,
+        route.max_attempts,
+    )
 
 
-def _is_match(route: CompiledRoute, path: bytes, method: bytes) -> bool:
-    prefix = route.path_prefix
-    if not path.startswith(prefix):
-        return False
-    if len(path) > len(prefix) and path[len(prefix)] != 0x2F:
-        return False
-    return route.methods is None or method in route.methods
+def _index_routes(
+    routes: list[CompiledRoute],
+) -> dict[bytes, dict[bytes, tuple[CompiledRoute, ...]]]:
+    """Return routes by host and path prefix, those with methods first."""
+    by_host: dict[bytes, dict[bytes, tuple[CompiledRoute, ...]]] = {}
+    for route in sorted(routes, key=lambda item: item.methods is None):
+        by_prefix = by_host.setdefault(route.host, {})
+        by_prefix[route.path_prefix] = (*by_prefix.get(route.path_prefix, ()), route)
+    return by_host
 
 
 def find_route(
@@ -172,7 +254,25 @@
         method: the method.
     """
     for key in (host, ANY_HOST):
-        for route in snapshot.routes_by_host.get(key, ()):
-            if _is_match(route, path, method):
+        by_prefix = snapshot.routes_by_host.get(key)
+        if by_prefix is None:
+            continue
+        route = _longest_match(by_prefix, path, method)
+        if route is not None:
+            return route
+    return None
+
+
+def _longest_match(
+    by_prefix: dict[bytes, tuple[CompiledRoute, ...]], path: bytes, method: bytes
+) -> CompiledRoute | None:
+    """Return the route with the longest prefix that ends at a segment of a path."""
+    end = len(path)
+    while end >= 0:
+        for route in by_prefix.get(path[:end], ()):
+            if end == len(path) and route.is_slash_required:
+                continue
+            if route.methods is None or method in route.methods:
                 return route
+        end = path.rfind(b"/", 0, end)
     return None
--- a/guavagap/streams.py
+++ b/guavagap/streams.py
@@ -7,7 +7,13 @@
 import curio
 
 from guavagap.errors import ErrorKind, GuavagapError
-from guavagap.messages import StreamAnswer, StreamCredit, StreamData, StreamReset
+from guavagap.messages import (
+    NO_LOAD,
+    StreamAnswer,
+    StreamCredit,
+    StreamData,
+    StreamReset,
+)
 
 __all__ = ["INITIAL_CREDIT_BYTES", "MAX_CHUNK_BYTES", "Stream"]
 
@@ -107,10 +113,12 @@
         await self.take_credit(len(chunk))
         await self.link.send(StreamData(self.stream_id, chunk, is_complete))
 
-    async def send_reset(self, kind: ErrorKind, detail: str, is_not_run: bool) -> None:
+    async def send_reset(
+        self, kind: ErrorKind, detail: str, is_not_run: bool, load: int = NO_LOAD
+    ) -> None:
         """Tell the other end that the stream cannot be finished."""
         await self.link.send(
-            StreamReset(self.stream_id, kind.value, detail, is_not_run)
+            StreamReset(self.stream_id, kind.value, detail, is_not_run, load)
         )
 
     def close(self) -> None:
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -18,8 +18,8 @@
 import h11
 
 from guavagap.addresses import Address, parse_address
+from guavagap.dialect import RUN_HEADER, RUN_NOT_RUN
 from guavagap.errors import GuavagapError
-from guavagap.exchange import RUN_HEADER, RUN_NOT_RUN
 from guavagap.http1 import (
     Http1Connection,
     RequestHead,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -301,11 +301,11 @@
 
     def read_platform(self, key: str) -> bytes:
         """Return the body of a key."""
-        return http_call(self.platform_port, "GET", f"/kv/{key}").body
+        return http_call(self.platform_port, "GET", f"/items/{key}").body
 
     def restore_platform(self, key: str, body: bytes) -> None:
         """Put an earlier body back, as a restored backup would."""
-        http_call(self.platform_port, "PUT", f"/restore/{key}", body)
+        http_call(self.platform_port, "PUT", f"/items/{key}", body)
 
     def commit_unchecked(self, service: str, change) -> None:
         """Commit a document around every check of the command line."""
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -1,120 +1,205 @@
-"""Stand-in for the platform's key-value service, over HTTP on loopback.
+"""Stand-in for the platform's metadata store, over HTTP on loopback.
 
 Knobs under ``/knobs`` (``PUT`` with a JSON object) make it misbehave:
 ``delay_s`` holds every answer, ``is_down`` closes connections without an
-answer, ``lose_write_answers`` applies that many writes and then closes without
-an answer. ``GET /counts`` returns calls by kind; ``PUT /restore/KEY`` replaces one
-key with an older body, as a backup would.
+answer, ``busy_status`` refuses every call with that status, ``lose_write_answers``
+applies that many writes and then closes without an answer, ``garble_answers``
+spoils that many answers. ``GET /counts`` returns calls by kind; ``GET`` and ``PUT
+/items/KEY`` read and write a key as its owner would, past every knob; ``POST
+/compact`` drops the history and ``POST /revoke/PREFIX`` takes keys away.
 """
 
+import base64
 import json
 import time
 from collections import Counter
+from urllib.parse import parse_qs, unquote, urlsplit
 
 import click
 import curio
 
 from guavagap.addresses import parse_address
-from guavagap.errors import ErrorKind, GuavagapError
-from guavagap.http1 import header_value
 from guavagap.http_messages import (
     HttpRequest,
     HttpResponse,
     accept_connections,
     serve_http,
 )
-from guavagap.platform import ABSENT, MemoryStore
 from guavagap.tasks import open_task_scope
 from guavagap.tcp import open_listener
+from standins.metadata_store import StandInStore
 
 __all__ = ["PlatformServer", "serve_platform"]
 
+PAGE_ITEMS = 500
+FORBIDDEN_PREFIXES = ("op/", "servers/")
+_JSON = [(b"content-type", b"application/json")]
+
 
 class ConnectionDropped(OSError):
     """Raised by a handler to close the connection without an answer."""
 
 
 class PlatformServer:
-    """The service behind one listening socket."""
+    """The store behind one listening socket."""
 
     def __init__(self):
-        self.store = MemoryStore(time.monotonic)
+        self.store = StandInStore(time.monotonic)
         self.counts: Counter[str] = Counter()
-        self.knobs = {"delay_s": 0.0, "is_down": False, "lose_write_answers": 0}
+        self.knobs = {
+            "delay_s": 0.0,
+            "is_down": False,
+            "busy_status": 0,
+            "lose_write_answers": 0,
+            "garble_answers": 0,
+        }
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
-        path = request.target.decode()
+        url = urlsplit(request.target.decode())
+        if url.path.startswith("/api/"):
+            return await self._handle_call(url, request)
+        return await self._handle_control(url.path, request)
+
+    async def _handle_control(self, path: str, request: HttpRequest) -> HttpResponse:
         if path == "/knobs":
             self.knobs.update(json.loads(request.body))
+            await self.store.notify()
             return HttpResponse(204, [])
         if path == "/counts":
             return HttpResponse(200, [], json.dumps(self.counts).encode())
-        if path.startswith("/restore/"):
-            return await self._restore(path.removeprefix("/restore/"), request.body)
-        return await self._handle_key(path.removeprefix("/kv/"), request)
-
-    async def _restore(self, key: str, body: bytes) -> HttpResponse:
-        await self.store.write(key, body, self.store.revision_of(key), None)
-        return HttpResponse(204, [])
+        if path == "/compact":
+            self.store.compact()
+            return HttpResponse(204, [])
+        if path.startswith("/revoke/"):
+            await self.store.revoke(unquote(path.removeprefix("/revoke/")))
+            return HttpResponse(204, [])
+        key = unquote(path.removeprefix("/items/"))
+        if request.method == b"PUT":
+            await self.store.transact({}, [(key, request.body, 0)], [])
+            return HttpResponse(204, [])
+        item = self.store.get(key)
+        return HttpResponse(404, []) if item is None else _bytes_response(item.value)
 
-    async def _handle_key(self, key: str, request: HttpRequest) -> HttpResponse:
+    async def _handle_call(self, url, request: HttpRequest) -> HttpResponse:
         if self.knobs["is_down"]:
             raise ConnectionDropped("down")
         if self.knobs["delay_s"]:
             await curio.sleep(self.knobs["delay_s"])
-        if request.method == b"GET":
-            return await self._read(key, request)
-        self.counts[request.method.decode().lower()] += 1
-        try:
-            response = await self._write(key, request)
-        except GuavagapError as error:
-            if error.kind is not ErrorKind.CONFLICT:
-                raise
-            return HttpResponse(412, [], error.detail.encode())
+        if self.knobs["busy_status"]:
+            return _answer(self.knobs["busy_status"], {"error": "busy"})
+        response = await self._answer_call(url, request)
+        if self.knobs["garble_answers"] > 0:
+            self.knobs["garble_answers"] -= 1
+            return response._replace(body=b"\x00" + response.body)
+        return response
+
+    async def _answer_call(self, url, request: HttpRequest) -> HttpResponse:
+        name = url.path.removeprefix("/api/").partition("/")[0]
+        self.counts[name] += 1
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        if name == "kv-key":
+            return self._get(query["key"])
+        if name == "kv-range":
+            return self._list(query)
+        if name == "kv-watch":
+            return await self._watch(query)
+        body = json.loads(request.body) if request.body else {}
+        response = await self._write(name, url.path.rpartition("/")[2], body)
         if self.knobs["lose_write_answers"] > 0:
             self.knobs["lose_write_answers"] -= 1
             raise ConnectionDropped("answer lost")
         return response
 
-    async def _read(self, key: str, request: HttpRequest) -> HttpResponse:
-        prefer = header_value(request.headers, b"prefer")
-        if prefer is None:
-            self.counts["get"] += 1
-        else:
-            self.counts["watch"] += 1
-            wait_s = float(prefer.removeprefix(b"wait="))
-            known = _entity_tag(request, b"if-none-match")
-            await self.store.wait_for_change(key, known, wait_s)
-            if self.knobs["is_down"]:
-                raise ConnectionDropped("down")
-            if known != ABSENT and self.store.revision_of(key) == known:
-                return HttpResponse(304, [])
-        value = self.store.read(key)
-        if value is None:
-            return HttpResponse(404, [])
-        return HttpResponse(200, [_etag(value.revision)], value.body)
-
-    async def _write(self, key: str, request: HttpRequest) -> HttpResponse:
-        expected = _entity_tag(request, b"if-match")
-        if request.method == b"DELETE":
-            await self.store.remove(key, expected)
-            return HttpResponse(204, [])
-        ttl_ms = header_value(request.headers, b"lease-ttl-ms")
-        ttl_s = None if ttl_ms is None else int(ttl_ms) / 1000
-        revision = await self.store.write(key, request.body, expected, ttl_s)
-        return HttpResponse(201, [_etag(revision)])
+    def _get(self, key: str) -> HttpResponse:
+        item = self.store.get(key)
+        if item is None:
+            return _answer(404, {"error": "no such key", "asOf": self.store.revision})
+        return _answer(200, self._row(item) | {"asOf": self.store.revision})
+
+    def _row(self, item) -> dict:
+        return {
+            "key": item.key,
+            "value": base64.b64encode(item.value).decode(),
+            "revision": item.revision,
+            "createRev": self.store.created_revision(item.key),
+            "lease": item.lease_id,
+        }
+
+    def _list(self, query: dict[str, str]) -> HttpResponse:
+        items = self.store.list_prefix(
+            query.get("prefix", ""), query.get("after", ""), PAGE_ITEMS + 1
+        )
+        page = [self._row(item) for item in items[:PAGE_ITEMS]]
+        more = len(items) > PAGE_ITEMS
+        return _answer(
+            200, {"items": page, "hasMore": more, "asOf": self.store.revision}
+        )
+
+    async def _watch(self, query: dict[str, str]) -> HttpResponse:
+        changes = await self.store.wait_for_changes(
+            query.get("prefix", ""), int(query["after"]), int(query["waitMs"]) / 1000
+        )
+        if self.knobs["is_down"]:
+            raise ConnectionDropped("down")
+        if changes is None:
+            return _answer(410, {"error": "history is gone"})
+        events = [
+            (
+                {"key": item.key, "revision": item.revision, "tombstone": True}
+                if item.body is None
+                else {
+                    "key": item.key,
+                    "value": base64.b64encode(item.body).decode(),
+                    "revision": item.revision,
+                }
+            )
+            for item in changes
+        ]
+        return _answer(200, {"events": events, "asOf": self.store.revision})
+
+    async def _write(self, name: str, argument: str, body: dict) -> HttpResponse:
+        if name == "kv-lease":
+            lease_id, ttl_s = self.store.grant_lease(body["ttlS"])
+            return _answer(200, {"lease": lease_id, "ttlS": ttl_s})
+        if name == "kv-keep":
+            ttl_s = self.store.keep_lease(int(argument))
+            return _answer(404 if ttl_s is None else 200, {"ttlS": ttl_s})
+        if name == "kv-lease-end":
+            is_ended = self.store.end_lease(int(argument))
+            await self.store.notify()
+            return _answer(200 if is_ended else 404, {})
+        return await self._transact(body)
+
+    async def _transact(self, body: dict) -> HttpResponse:
+        expected = {row["key"]: row["revision"] for row in body["expectedRev"]}
+        writes = [
+            (row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
+            for row in body["puts"]
+        ]
+        keys = [write[0] for write in writes] + body["remove"]
+        if any(key.startswith(FORBIDDEN_PREFIXES) for key in keys):
+            return _answer(403, {"error": "not yours"})
+        try:
+            revision = await self.store.transact(expected, writes, body["remove"])
+        except KeyError:
+            return _answer(404, {"error": "no such lease"})
+        if revision is not None:
+            return _answer(200, {"revision": revision})
+        held = [self.store.get(key) for key in expected]
+        rows = [
+            {"key": key, "revision": 0} if item is None else self._row(item)
+            for key, item in zip(expected, held)
+        ]
+        return _answer(412, {"items": rows})
 
 
-def _entity_tag(request: HttpRequest, name: bytes) -> str:
-    value = header_value(request.headers, name)
-    if value is None or value == b"*":
-        return ABSENT
-    return value.strip(b'"').decode()
+def _answer(status: int, value: dict) -> HttpResponse:
+    return HttpResponse(status, _JSON, json.dumps(value).encode())
 
 
-def _etag(revision: str) -> tuple[bytes, bytes]:
-    return (b"etag", b'"%s"' % revision.encode())
+def _bytes_response(body: bytes) -> HttpResponse:
+    return HttpResponse(200, [], body)
 
 
 async def serve_platform(address) -> None:
--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -13,14 +13,14 @@
     read_head,
 )
 from guavagap.errors import ErrorKind, GuavagapError
-from guavagap.platform import MemoryPlatform, MemoryStore
+from guavagap.key_value import MemoryKeyValueStore, MemoryStore
 from tests.cases import AsyncTestCase
 from tests.test_configuration import make_document
 
 RACE_ROUNDS = 200
 
 
-class _LossyPlatform(MemoryPlatform):
+class _LossyPlatform(MemoryKeyValueStore):
     """Lets other tasks run between calls, and can lose answers of writes."""
 
     def __init__(self, store):
@@ -160,7 +160,7 @@
 
     def test_lost_answer_is_found_behind_a_later_commit(self):
         async def case(platform):
-            other = MemoryPlatform(self.store)
+            other = MemoryKeyValueStore(self.store)
 
             async def commit_between():
                 await apply_documents(other, [edited("b", 0, 1.0)], "bob", "")
--- a/tests/test_platform.py
+++ b/tests/test_key_value.py
@@ -7,8 +7,8 @@
 from guavagap.addresses import Address
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.http_messages import accept_connections, serve_http
-from guavagap.platform import ABSENT, MAX_VALUE_BYTES, MemoryPlatform, MemoryStore
-from guavagap.platform_http import open_platform
+from guavagap.key_value import ABSENT, MAX_VALUE_BYTES, MemoryKeyValueStore, MemoryStore
+from guavagap.platform.store import open_key_value_store
 from guavagap.tasks import open_task_scope
 from guavagap.tcp import open_listener
 from standins.fleet import free_ports
@@ -106,9 +106,9 @@
         self.check(case)
 
 
-class MemoryPlatformTests(PlatformCases, AsyncTestCase):
+class MemoryKeyValueStoreTests(PlatformCases, AsyncTestCase):
     async def with_platform(self, function):
-        await function(MemoryPlatform(MemoryStore(time.monotonic)))
+        await function(MemoryKeyValueStore(MemoryStore(time.monotonic)))
 
 
 class HttpPlatformTests(PlatformCases, AsyncTestCase):
@@ -124,7 +124,7 @@
 
         async with open_task_scope("test") as scope:
             await scope.spawn(accept_connections, open_listener(address), scope, serve)
-            async with open_platform(address, 1.0) as platform:
+            async with open_key_value_store(address, 1.0) as platform:
                 await function(server, platform)
 
     def test_outage_and_delay_are_unreachable(self):
