Judge backend servers at their own node, and replace failures of safe requests

Cause: a node sees each backend server a few times a second, too seldom to notice one that fails or slows down; failures of idempotent requests were passed on although another backend server could answer.

Change: the node beside a backend server keeps running means of its failures and of its time as a share of the target latency, and stamps them on answers and refusals; ingress nodes choose by the expected time and leave failing ones alone. A failure or a cut answer of an idempotent request is kept back for one more attempt inside the budget, and passed on when that comes to nothing.

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -7,7 +7,7 @@
 
 import time
 from collections import Counter
-from typing import NamedTuple
+from typing import Callable, NamedTuple
 
 from guavagap.caller_connections import CallerDownstream
 from guavagap.dialect import Dialect
@@ -44,10 +44,13 @@
 # A request may wait for a slot this share of its target latency; the rest is left
 # for the work itself.
 WAIT_SHARE_OF_TARGET = 0.6
+# Below this share of its target latency another attempt comes to nothing.
+RETRY_TIME_SHARE_OF_TARGET = 0.3
 
 _CRASH_KINDS = (ErrorKind.BACKEND_SERVER_LOST, ErrorKind.BODY_CUT_SHORT)
 _UNREACHABLE_KINDS = (ErrorKind.CONNECT_FAILED, ErrorKind.LINK_UNREACHABLE)
 _FAILURE_KINDS = _CRASH_KINDS + (
+    ErrorKind.BACKEND_SERVER_FAILED,
     ErrorKind.BACKEND_SERVER_PROTOCOL,
     ErrorKind.DEADLINE_AFTER_SEND,
     ErrorKind.LINK_LOST,
@@ -79,7 +82,7 @@
 class _Progress:
     """What the attempts of one request have met so far."""
 
-    __slots__ = ("failed", "busy", "attempts", "placements", "unknown")
+    __slots__ = ("failed", "busy", "attempts", "placements", "unknown", "held")
 
     def __init__(self):
         self.failed: set[str] = set()
@@ -87,6 +90,15 @@
         self.attempts = 0
         self.placements = 0
         self.unknown: GuavagapError | None = None
+        self.held: AnswerHead | None = None
+
+
+class _FailureHeld(GuavagapError):
+    """A backend server's failure that is kept back for another attempt."""
+
+    def __init__(self, answer: AnswerHead):
+        super().__init__(ErrorKind.BACKEND_SERVER_FAILED, f"status {answer.status}")
+        self.answer = answer
 
 
 class AttemptRunner:
@@ -154,15 +166,42 @@
         progress = _Progress()
         while True:
             attempt = Attempt()
-            target = self._choose(exchange, progress)
             try:
-                await self._try(self._placed(exchange, progress), target, attempt)
-                budget.note_success()
-                return
+                target = self._choose(exchange, progress)
+                placed = self._placed(exchange, progress)
+                try:
+                    await self._try(placed, target, attempt, progress, budget)
+                    budget.note_success()
+                    return
+                except GuavagapError as error:
+                    exchange = self._after_failure(
+                        exchange, progress, target, error, attempt, budget
+                    )
             except GuavagapError as error:
-                exchange = self._after_failure(
-                    exchange, progress, target, error, attempt, budget
-                )
+                if progress.held is None or error.kind is ErrorKind.CALLER_GONE:
+                    raise
+                # The failure that a backend server gave says most.
+                await exchange.downstream.send_answer(progress.held)
+                return
+
+    def _make_judge(
+        self, exchange: Exchange, progress: _Progress, budget: RetryBudget
+    ) -> Callable[[AnswerHead], None] | None:
+        """Return what keeps a failure back while another attempt is allowed."""
+        if not self._node.is_forwarding_only or not exchange.request.is_idempotent:
+            return None
+        if progress.attempts + 1 >= exchange.route.max_attempts:
+            return None
+
+        def judge(answer: AnswerHead) -> None:
+            if answer.status < FAILURE_STATUS or not answer.is_complete:
+                return
+            left_s = exchange.request.deadline_s - time.monotonic()
+            least_s = RETRY_TIME_SHARE_OF_TARGET * exchange.route.target_latency_s
+            if left_s > least_s and budget.has_token():
+                raise _FailureHeld(answer)
+
+        return judge
 
     def _choose(self, exchange: Exchange, progress: _Progress) -> Target:
         share = exchange.share
@@ -215,6 +254,8 @@
         progress.attempts += has_arrived
         if not answer_for(error.kind).is_not_run:
             progress.unknown = error
+        if isinstance(error, _FailureHeld):
+            progress.held = error.answer
         failure = self._failure(exchange, error, attempt, progress)
         is_allowed = may_retry(failure) and (not has_arrived or budget.try_spend())
         if not is_allowed:
@@ -273,14 +314,22 @@
             budget = self._budgets[key] = self._node.make_retry_budget(share)
         return budget
 
-    async def _try(self, exchange: Exchange, target: Target, attempt: Attempt) -> None:
+    async def _try(
+        self,
+        exchange: Exchange,
+        target: Target,
+        attempt: Attempt,
+        progress: _Progress,
+        budget: RetryBudget,
+    ) -> None:
         """Make one attempt and learn from its outcome."""
+        judge = self._make_judge(exchange, progress, budget)
         health = target.health
         health.in_flight += 1
         started_s = time.monotonic()
         try:
             async with limit_to_deadline(exchange.request.deadline_s, attempt):
-                answer = await self._send(exchange, target, attempt)
+                answer = await self._send(exchange, target, attempt, judge)
         except GuavagapError as error:
             self._learn_failure(exchange, target, error, started_s)
             if error.kind in _CRASH_KINDS:
@@ -291,7 +340,7 @@
         self._learn_answer(exchange, target, answer, started_s)
 
     async def _send(
-        self, exchange: Exchange, target: Target, attempt: Attempt
+        self, exchange: Exchange, target: Target, attempt: Attempt, judge
     ) -> AnswerHead:
         """Take the shortest path that is open to this request."""
         node = self._node
@@ -299,7 +348,7 @@
         if target.node_id == node.settings.node_id:
             self._counts["path_local"] += 1
             server_id = target.server.server_id
-            return await node.run_local(server_id, request, downstream, attempt)
+            return await node.run_local(server_id, request, downstream, attempt, judge)
         if not node.is_forwarding_only:
             upstream = await node.direct.take(target)
             if upstream is not None:
@@ -311,7 +360,7 @@
         stream = link.open_stream()
         upstream = StreamExchange(stream, target.server.server_id, target.health)
         attempt.upstream = upstream
-        return await relay_exchange(request, downstream, upstream)
+        return await relay_exchange(request, downstream, upstream, judge)
 
     def _learn_answer(
         self, exchange: Exchange, target: Target, answer: AnswerHead, started_s: float
@@ -319,11 +368,12 @@
         now_s = time.monotonic()
         is_failure = answer.status >= FAILURE_STATUS
         self._counts["answers"] += 1
-        load = answer.load
-        if load is None:
+        if answer.condition is not None:
+            target.health.note_condition(answer.condition, now_s)
+        else:
             load = self._dialect.read_load(answer.headers)
-        if load is not None:
-            target.health.note_load(load, now_s)
+            if load is not None:
+                target.health.note_load(load, now_s)
         if is_failure:
             target.health.note_failure(now_s, is_unreachable=False)
         else:
--- a/guavagap/backend_front.py
+++ b/guavagap/backend_front.py
@@ -1,6 +1,7 @@
 """The front of one local backend server: admission, permits, connections."""
 
 import time
+from typing import Callable
 
 from guavagap.addresses import parse_address
 from guavagap.backend_connections import BackendConnectionPool, BackendExchange
@@ -11,13 +12,24 @@
     Attempt,
     Downstream,
     ForwardedRequest,
+    Upstream,
     relay_exchange,
 )
 from guavagap.limits import Admission, PermitLedger, direct_connection_limit
-from guavagap.messages import BackendServer
+from guavagap.messages import BackendServer, Condition
 
 __all__ = ["BackendFront"]
 
+FAILURE_STATUS = 500
+# The means look back over some ten requests: half a second of a busy server.
+MEMORY_SHARE = 0.1
+MAX_PERMILLE = 60_000
+_LOST_KINDS = (
+    ErrorKind.BACKEND_SERVER_LOST,
+    ErrorKind.BACKEND_SERVER_PROTOCOL,
+    ErrorKind.BODY_CUT_SHORT,
+)
+
 
 class BackendFront:
     """Runs requests on a backend server of this VM.
@@ -36,6 +48,8 @@
     ):
         self.server = server
         self._dialect = dialect
+        self._failure_share = 0.0
+        self._slowness = 0.0
         self.admission = Admission(server.slots)
         self.permits = PermitLedger(
             direct_connection_limit(server.connections, server.slots),
@@ -44,10 +58,23 @@
         )
         self.connections = BackendConnectionPool(parse_address(server.address))
 
-    @property
-    def load(self) -> int:
-        """How many requests run or wait for a slot."""
-        return self.admission.in_flight + self.admission.queue_length
+    def condition(self) -> Condition:
+        """Return how the backend server does, for the nodes that call it."""
+        return Condition(
+            self.admission.in_flight + self.admission.queue_length,
+            int(self._failure_share * 1000),
+            min(MAX_PERMILLE, int(self._slowness * 1000)),
+        )
+
+    def _learn(self, request: ForwardedRequest, is_failure: bool, time_s: float):
+        """Take the outcome of a run into the running means."""
+        self._failure_share += MEMORY_SHARE * (is_failure - self._failure_share)
+        if not request.target_latency_s:
+            return
+        slowness = time_s / request.target_latency_s
+        if not self._slowness:
+            self._slowness = slowness
+        self._slowness += MEMORY_SHARE * (slowness - self._slowness)
 
     async def start_draining(self) -> None:
         """Admit nothing new, send away what waits, and grant no permits."""
@@ -55,7 +82,11 @@
         await self.admission.start_draining()
 
     async def run(
-        self, request: ForwardedRequest, downstream: Downstream, attempt: Attempt
+        self,
+        request: ForwardedRequest,
+        downstream: Downstream,
+        attempt: Attempt,
+        judge: Callable[[AnswerHead], None] | None = None,
     ) -> AnswerHead:
         """Admit a request, run it and pass its answer on.
 
@@ -63,6 +94,7 @@
             request: what to run.
             downstream: where its answer goes.
             attempt: its ``upstream`` is set when the request is about to be sent.
+            judge: see :func:`guavagap.exchange.relay_exchange`.
 
         Raises:
             GuavagapError: see :func:`guavagap.exchange.relay_exchange`.
@@ -83,7 +115,32 @@
                 self._dialect,
             )
             attempt.upstream = upstream
-            return await relay_exchange(request, downstream, upstream)
+            return await self._run_exchange(request, downstream, upstream, judge)
+
+    async def _run_exchange(
+        self,
+        request: ForwardedRequest,
+        downstream: Downstream,
+        upstream: Upstream,
+        judge: Callable[[AnswerHead], None] | None,
+    ) -> AnswerHead:
+        """Pass a request and its answer on, and learn how the run went."""
+        started_s = time.monotonic()
+        answered_s: list[float] = []
+
+        def note_answer(answer: AnswerHead) -> None:
+            time_s = time.monotonic() - started_s
+            answered_s.append(time_s)
+            self._learn(request, answer.status >= FAILURE_STATUS, time_s)
+            if judge is not None:
+                judge(answer)
+
+        try:
+            return await relay_exchange(request, downstream, upstream, note_answer)
+        except GuavagapError as error:
+            if not answered_s and error.kind in _LOST_KINDS:
+                self._learn(request, True, time.monotonic() - started_s)
+            raise
 
 
 def _always() -> bool:
--- a/guavagap/directory.py
+++ b/guavagap/directory.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from guavagap.members import MemberTable
-from guavagap.messages import BackendServer, MemberState
+from guavagap.messages import BackendServer, Condition, MemberState
 
 __all__ = ["Directory", "ServerHealth", "Target"]
 
@@ -20,6 +20,11 @@
 EJECT_AFTER_UNREACHABLE = 2
 EJECT_FIRST_S = 2.0
 EJECT_LIMIT_S = 30.0
+# A healthy backend server fails a few requests in a hundred, when those that it
+# calls fail; one that fails a fifth is worth leaving alone for a while.
+EJECT_FAILURE_PERMILLE = 200
+EJECT_REPORTED_S = 2.0
+SLOWNESS_LIFETIME_S = 3.0
 
 
 class ServerHealth:
@@ -30,6 +35,7 @@
         reported_in_flight: load stamped on its latest answer.
         consecutive_failures: failures since the latest success.
         ejected_until_s: monotonic time until which it is not chosen.
+        slowness: time of its latest requests as a share of their target latency.
     """
 
     __slots__ = (
@@ -41,6 +47,7 @@
         "ejections",
         "first_seen_s",
         "is_warm",
+        "slowness",
     )
 
     def __init__(self, now_s: float, is_warm: bool):
@@ -52,6 +59,22 @@
         self.ejections = 0
         self.first_seen_s = now_s
         self.is_warm = is_warm
+        self.slowness = 0.0
+
+    def note_condition(self, condition: Condition, now_s: float) -> None:
+        """Take what the node beside a backend server says of it."""
+        if not condition.is_known:
+            return
+        self.note_load(condition.load, now_s)
+        self.slowness = condition.slowness_permille / 1000
+        if condition.failure_permille > EJECT_FAILURE_PERMILLE:
+            self.ejected_until_s = max(self.ejected_until_s, now_s + EJECT_REPORTED_S)
+
+    def expected_slowness(self, now_s: float) -> float | None:
+        """Return the time of a request as a share of its target, None unknown."""
+        if not self.slowness or now_s - self.reported_at_s > SLOWNESS_LIFETIME_S:
+            return None
+        return self.slowness
 
     def note_load(self, in_flight: int, now_s: float) -> None:
         """Take the load that a backend server has stamped on an answer."""
--- a/guavagap/errors.py
+++ b/guavagap/errors.py
@@ -45,6 +45,7 @@
     DEADLINE_AFTER_SEND = "deadline_after_send"
     BACKEND_SERVER_LOST = "backend_server_lost"
     BACKEND_SERVER_PROTOCOL = "backend_server_protocol"
+    BACKEND_SERVER_FAILED = "backend_server_failed"
     BODY_CUT_SHORT = "body_cut_short"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
@@ -108,6 +109,7 @@
     ErrorKind.DEADLINE_AFTER_SEND: Answer(504, _UNKNOWN, "info", EXIT_REFUSED),
     ErrorKind.BACKEND_SERVER_LOST: Answer(502, _UNKNOWN, "warning", EXIT_REFUSED),
     ErrorKind.BACKEND_SERVER_PROTOCOL: Answer(502, _UNKNOWN, "warning", EXIT_REFUSED),
+    ErrorKind.BACKEND_SERVER_FAILED: Answer(502, _UNKNOWN, "info", EXIT_REFUSED),
     ErrorKind.BODY_CUT_SHORT: Answer(502, _UNKNOWN, "warning", EXIT_REFUSED),
     ErrorKind.BODY_TOO_LARGE: Answer(413, _UNKNOWN, "info", EXIT_REFUSED),
     ErrorKind.HEADERS_TOO_LARGE: Answer(431, _NOT_RUN, "info", EXIT_REFUSED),
--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -9,11 +9,12 @@
 import time
 from abc import ABC, abstractmethod
 from contextlib import asynccontextmanager
-from typing import NamedTuple
+from typing import Callable, NamedTuple
 
 import curio
 
 from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.messages import Condition
 
 __all__ = [
     "AnswerHead",
@@ -42,6 +43,7 @@
         deadline_s: monotonic time after which the answer is of no use.
         priority: 0 is the most urgent among those that wait for a slot.
         max_wait_s: how long it may wait for a slot; None until the deadline.
+        target_latency_s: within which an answer is worth most; 0 for none.
     """
 
     method: bytes
@@ -53,6 +55,7 @@
     deadline_s: float
     priority: int = 1
     max_wait_s: float | None = None
+    target_latency_s: float = 0.0
 
 
 class AnswerHead(NamedTuple):
@@ -60,8 +63,8 @@
 
     Attributes:
         is_complete: True when ``chunks`` is the whole body.
-        load: requests in the backend server, as its node counts them; None when
-            the answer did not pass that node.
+        condition: of the backend server, as its node sees it; None when the
+            answer did not pass that node.
         is_chunked: whether the body came in chunks, as endless ones do.
     """
 
@@ -69,7 +72,7 @@
     headers: Headers
     chunks: list[bytes]
     is_complete: bool
-    load: int | None = None
+    condition: Condition | None = None
     is_chunked: bool = False
 
 
@@ -182,10 +185,20 @@
 
 
 async def relay_exchange(
-    request: ForwardedRequest, downstream: Downstream, upstream: Upstream
+    request: ForwardedRequest,
+    downstream: Downstream,
+    upstream: Upstream,
+    judge: Callable[[AnswerHead], None] | None = None,
 ) -> AnswerHead:
     """Send a request upstream and its answer downstream.
 
+    Args:
+        request: what to send.
+        downstream: where the answer goes.
+        upstream: where the request goes.
+        judge: called with the answer before it is passed on; raises to keep it
+            back.
+
     Returns:
         The head of the answer, when all of it has been passed on.
 
@@ -197,6 +210,8 @@
     try:
         is_body_sent = await _send_request(request, downstream, upstream)
         answer = await _read_whole(await upstream.read_answer(), upstream)
+        if judge is not None:
+            judge(answer)
         await downstream.send_answer(answer)
         is_complete = answer.is_complete
         while not is_complete:
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -1,13 +1,14 @@
 """Forwarded requests: an exchange whose other end is a stream of a link."""
 
 import time
+from typing import Callable
 
 from guavagap.directory import ServerHealth
 from guavagap.errors import ErrorKind, GuavagapError, answer_for
 from guavagap.exchange import AnswerHead, Downstream, ForwardedRequest, Upstream
 from guavagap.messages import (
-    NO_LOAD,
     NO_WAIT_LIMIT,
+    Condition,
     Header,
     OpenStream,
     StreamAnswer,
@@ -68,6 +69,7 @@
             request.is_idempotent,
             request.priority,
             NO_WAIT_LIMIT if request.max_wait_s is None else _to_ms(request.max_wait_s),
+            _to_ms(request.target_latency_s),
         )
         await self._stream.take_credit(len(first))
         self.is_written = True
@@ -84,8 +86,7 @@
     async def read_answer(self):
         message = await self._stream.receive()
         if isinstance(message, StreamReset):
-            if message.load != NO_LOAD:
-                self._health.note_load(message.load, time.monotonic())
+            self._health.note_condition(message.condition, time.monotonic())
             _raise_reset(message)
         if not isinstance(message, StreamAnswer):
             raise GuavagapError(ErrorKind.FRAME_INVALID, "body before an answer")
@@ -95,7 +96,7 @@
             [tuple(header) for header in message.headers],
             [message.body] if message.body else [],
             message.is_complete,
-            None if message.load == NO_LOAD else message.load,
+            message.condition,
             message.is_chunked,
         )
 
@@ -124,11 +125,16 @@
     Args:
         stream: the stream that the request arrived on.
         opening: its first frame.
-        read_load: returns the requests in the backend server.
+        read_condition: returns the condition of the backend server.
     """
 
-    def __init__(self, stream: Stream, opening: OpenStream, read_load):
-        self._read_load = read_load
+    def __init__(
+        self,
+        stream: Stream,
+        opening: OpenStream,
+        read_condition: Callable[[], Condition],
+    ):
+        self._read_condition = read_condition
         self.is_body_ended = opening.is_complete
         self.chunks = [opening.body] if opening.body else []
         self.is_body_complete = opening.is_complete
@@ -159,7 +165,7 @@
                 tuple(Header(*header) for header in answer.headers),
                 first,
                 is_whole,
-                max(0, self._read_load() - 1),
+                self._read_condition(),
                 answer.is_chunked,
             )
         )
@@ -192,4 +198,5 @@
         time.monotonic() + opening.timeout_ms / 1000,
         opening.priority,
         None if opening.max_wait_ms == NO_WAIT_LIMIT else opening.max_wait_ms / 1000,
+        opening.target_latency_ms / 1000,
     )
--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -9,7 +9,8 @@
 from guavagap.forwarding import StreamDownstream, request_from_open_stream
 from guavagap.logs import get_logger
 from guavagap.messages import (
-    NO_LOAD,
+    UNKNOWN_CONDITION,
+    Condition,
     DeltaPush,
     DeltaRequest,
     EvidenceReport,
@@ -58,11 +59,11 @@
     stream = link.add_stream(opening.stream_id)
     stream.cancel_on_reset(await curio.current_task())
 
-    def read_load() -> int:
+    def read_condition() -> Condition:
         front = node.fronts.get(opening.server_id)
-        return NO_LOAD if front is None else front.load
+        return UNKNOWN_CONDITION if front is None else front.condition()
 
-    downstream = StreamDownstream(stream, opening, read_load)
+    downstream = StreamDownstream(stream, opening, read_condition)
     request = request_from_open_stream(opening)
     attempt = Attempt()
     try:
@@ -71,7 +72,9 @@
     except GuavagapError as error:
         is_not_run = not attempt.is_written or answer_for(error.kind).is_not_run
         if not link.is_closed:
-            await stream.send_reset(error.kind, error.detail, is_not_run, read_load())
+            await stream.send_reset(
+                error.kind, error.detail, is_not_run, read_condition()
+            )
     except Exception:
         await stream.send_reset(ErrorKind.INTERNAL, "see the owner node's log", False)
         raise
--- a/guavagap/messages.py
+++ b/guavagap/messages.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "BackendServer",
+    "Condition",
     "Datagram",
     "DatagramKind",
     "DeltaPush",
@@ -23,7 +24,6 @@
     "KeyLookupReply",
     "KeyState",
     "Member",
-    "NO_LOAD",
     "NO_WAIT_LIMIT",
     "MemberState",
     "MembersReply",
@@ -43,10 +43,10 @@
     "StreamCredit",
     "StreamData",
     "StreamReset",
+    "UNKNOWN_CONDITION",
 ]
 
 
-NO_LOAD = 65_535
 NO_WAIT_LIMIT = 2**32 - 1
 
 
@@ -176,6 +176,7 @@
 
     Attributes:
         max_wait_ms: how long it may wait for a slot, or NO_WAIT_LIMIT.
+        target_latency_ms: within which an answer is worth most; 0 for none.
     """
 
     stream_id: int
@@ -189,6 +190,7 @@
     is_idempotent: bool
     priority: int = 1
     max_wait_ms: int = NO_WAIT_LIMIT
+    target_latency_ms: int = 0
 
 
 class StreamData(NamedTuple):
@@ -206,25 +208,45 @@
     credit_bytes: int
 
 
+class Condition(NamedTuple):
+    """How a backend server does, as the node beside it sees it.
+
+    Attributes:
+        load: requests that run or wait for a slot.
+        failure_permille: share of the latest requests that failed.
+        slowness_permille: time of the latest requests, as a share of their
+            target latency; 0 without any.
+        is_known: False when the sender does not know the backend server.
+    """
+
+    load: int
+    failure_permille: int
+    slowness_permille: int
+    is_known: bool = True
+
+
+UNKNOWN_CONDITION = Condition(0, 0, 0, False)
+
+
 class StreamReset(NamedTuple):
     """The end of a stream that cannot be finished.
 
     Attributes:
-        load: requests in the backend server, or NO_LOAD.
+        condition: of the backend server.
     """
 
     stream_id: int
     kind: str
     detail: str
     is_not_run: bool
-    load: int = NO_LOAD
+    condition: Condition = UNKNOWN_CONDITION
 
 
 class StreamAnswer(NamedTuple):
     """Head of an answer, with as much body as is at hand.
 
     Attributes:
-        load: requests in the backend server, or NO_LOAD.
+        condition: of the backend server.
     """
 
     stream_id: int
@@ -232,7 +254,7 @@
     headers: tuple[Header, ...]
     body: bytes
     is_complete: bool
-    load: int = NO_LOAD
+    condition: Condition = UNKNOWN_CONDITION
     is_chunked: bool = False
 
 
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -3,6 +3,7 @@
 import time
 from collections import Counter
 from contextlib import asynccontextmanager
+from typing import Callable
 
 import curio
 
@@ -213,6 +214,7 @@
         request: ForwardedRequest,
         downstream: Downstream,
         attempt: Attempt,
+        judge: Callable[[AnswerHead], None] | None = None,
     ) -> AnswerHead:
         """Run a request on a backend server of this VM.
 
@@ -225,7 +227,8 @@
             raise GuavagapError(
                 ErrorKind.NO_BACKEND_SERVER, f"{server_id} is not announced here"
             )
-        return await front.run(request, downstream, attempt)
+        answer = await front.run(request, downstream, attempt, judge)
+        return answer._replace(condition=front.condition())
 
     async def take_report(self, report: ServerReport) -> None:
         """Take what a backend server of this VM reports of itself."""
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -207,6 +207,7 @@
             route.is_idempotent,
             started_s + _timeout_s(head, route, dialect.timeout),
             route.priority,
+            target_latency_s=route.target_latency_s,
         )
         sticky_value = None
         if route.sticky_header is not None:
--- a/guavagap/retries.py
+++ b/guavagap/retries.py
@@ -75,6 +75,7 @@
     ErrorKind.LINK_LOST: RetryRule.IF_IDEMPOTENT,
     ErrorKind.BACKEND_SERVER_LOST: RetryRule.ONCE_IF_IDEMPOTENT,
     ErrorKind.BACKEND_SERVER_PROTOCOL: RetryRule.ONCE_IF_IDEMPOTENT,
+    ErrorKind.BACKEND_SERVER_FAILED: RetryRule.ONCE_IF_IDEMPOTENT,
     ErrorKind.BODY_CUT_SHORT: RetryRule.ONCE_IF_IDEMPOTENT,
 }
 _NOT_ARRIVED = frozenset(
@@ -140,6 +141,10 @@
         """Earn a share of a retry."""
         self._tokens = min(self._limit, self._tokens + self.share)
 
+    def has_token(self) -> bool:
+        """Return whether a retry is left."""
+        return self._tokens >= 1.0
+
     def try_spend(self) -> bool:
         """Take one retry out of the budget if there is one."""
         if self._tokens < 1.0:
--- a/guavagap/routing.py
+++ b/guavagap/routing.py
@@ -19,6 +19,18 @@
 FULL_WEIGHT_PERMILLE = 1000
 SUBSET = 2
 MAX_ORDERS = 2000
+# A target of another failure domain has to be this many times faster: crossing
+# costs a round trip, and bytes that are paid for.
+FAR_FACTOR = 1.5
+# Share of requests that may go to another failure domain without that, so that
+# servers which have none of their own callers are seen.
+EXPLORING_SHARE = 0.02
+# A server is some two times slower in its first seconds.
+COLD_S = 3.0
+COLD_FACTOR = 2.0
+FULL_PENALTY = 0.5
+# Work takes about a third of the target latency where nothing is known.
+UNKNOWN_SLOWNESS = 0.33
 
 
 def saturation(target: Target, max_in_flight: int | None, now_s: float) -> float:
@@ -248,21 +260,46 @@
 class ForwardingRouter(Router):
     """Choice of a target where every request passes its node's admission.
 
-    There are no permits to save, so any target may be taken: the least loaded of
-    the own failure domain while one has a free slot, else the least loaded of all.
+    There are no permits to save, so any target may be taken: the one that is
+    expected to answer first, the own failure domain's as long as it is not much
+    slower.
     """
 
     def _choose_among(self, share: RouteShare, targets: tuple[Target, ...]) -> Target:
         now_s = time.monotonic()
         healthy = self._healthy(share, list(targets), now_s)
-        loads = [
-            (saturation(item, None, now_s), random.random(), item) for item in healthy
+        usual = _usual_slowness(healthy, now_s)
+        rows = [
+            (self._expected_time(item, usual, now_s), random.random(), item)
+            for item in healthy
         ]
-        near = [row for row in loads if row[2].failure_domain == self._own_domain]
-        best_near = min(near, default=None)
-        if best_near is not None and best_near[0] < 1.0:
-            return best_near[2]
-        return min(loads)[2]
+        best = min(rows)
+        near = [row for row in rows if row[2].failure_domain == self._own_domain]
+        if not near or random.random() < EXPLORING_SHARE:
+            return best[2]
+        best_near = min(near)
+        return best_near[2] if best_near[0] <= FAR_FACTOR * best[0] else best[2]
+
+    def _expected_time(self, target: Target, usual: float, now_s: float) -> float:
+        """Return the time that a request is expected to take, in target latencies."""
+        slowness = target.health.expected_slowness(now_s) or usual
+        if not target.health.is_warm and now_s - target.health.first_seen_s < COLD_S:
+            slowness = max(slowness, COLD_FACTOR * usual)
+        slots = target.server.slots
+        load = target.health.load(now_s)
+        waiting = max(0, load + 1 - slots)
+        # A server that is nearly full is slower, and more likely full by now.
+        return slowness * (1 + FULL_PENALTY * load / slots + waiting / slots)
+
+
+def _usual_slowness(targets: list[Target], now_s: float) -> float:
+    """Return the median of what is known of some targets."""
+    known = sorted(
+        slowness
+        for item in targets
+        if (slowness := item.health.expected_slowness(now_s)) is not None
+    )
+    return known[len(known) // 2] if known else UNKNOWN_SLOWNESS
 
 
 def _sticky_position(state: ServiceState, sticky_value: bytes) -> int:
--- a/guavagap/schemas/mesh.capnp
+++ b/guavagap/schemas/mesh.capnp
@@ -64,17 +64,19 @@
   isIdempotent @8 :Bool;
   priority @9 :UInt8;
   maxWaitMs @10 :UInt32;
+  targetLatencyMs @11 :UInt32;
 }
+struct Condition { load @0 :UInt16; failurePermille @1 :UInt16; slownessPermille @2 :UInt16; isKnown @3 :Bool; }
 struct StreamData { streamId @0 :UInt64; body @1 :Data; isComplete @2 :Bool; }
 struct StreamCredit { streamId @0 :UInt64; creditBytes @1 :UInt32; }
-struct StreamReset { streamId @0 :UInt64; kind @1 :Text; detail @2 :Text; isNotRun @3 :Bool; load @4 :UInt16; }
+struct StreamReset { streamId @0 :UInt64; kind @1 :Text; detail @2 :Text; isNotRun @3 :Bool; condition @4 :Condition; }
 struct StreamAnswer {
   streamId @0 :UInt64;
   status @1 :UInt16;
   headers @2 :List(Header);
   body @3 :Data;
   isComplete @4 :Bool;
-  load @5 :UInt16;
+  condition @5 :Condition;
   isChunked @6 :Bool;
 }
 
--- a/guavagap/streams.py
+++ b/guavagap/streams.py
@@ -8,7 +8,8 @@
 
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.messages import (
-    NO_LOAD,
+    UNKNOWN_CONDITION,
+    Condition,
     StreamAnswer,
     StreamCredit,
     StreamData,
@@ -114,11 +115,15 @@
         await self.link.send(StreamData(self.stream_id, chunk, is_complete))
 
     async def send_reset(
-        self, kind: ErrorKind, detail: str, is_not_run: bool, load: int = NO_LOAD
+        self,
+        kind: ErrorKind,
+        detail: str,
+        is_not_run: bool,
+        condition: Condition = UNKNOWN_CONDITION,
     ) -> None:
         """Tell the other end that the stream cannot be finished."""
         await self.link.send(
-            StreamReset(self.stream_id, kind.value, detail, is_not_run, load)
+            StreamReset(self.stream_id, kind.value, detail, is_not_run, condition)
         )
 
     def close(self) -> None:
--- /dev/null
+++ b/tests/platform/test_decode.py
@@ -0,0 +1,164 @@
+"""Tests of the bodies of the platform."""
+
+import json
+
+import testtools
+from hypothesis import given, strategies
+
+from guavagap.declarations import Declaration, ServiceShare
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.metadata_store import MirrorItem
+from guavagap.platform.decode import decode_item, decode_report, encode_status
+
+CONFIGURATION = {
+    "version": "0000001c",
+    "baseVersion": "00000005",
+    "resources": [
+        {
+            "typeUrl": "routes",
+            "metadata": {"name": "r-1"},
+            "spec": {
+                "host": "shop.example",
+                "prefix": "/a/",
+                "kind": "safe",
+                "timeoutS": 1,
+                "targetLatencyS": 0.5,
+                "priority": 2,
+                "maxAttempts": 2,
+                "trafficSplit": [
+                    {"service": "s1", "weight": 90},
+                    {"service": "s2", "weight": 10},
+                ],
+            },
+        },
+        {
+            "typeUrl": "routes",
+            "metadata": {"name": "r-2"},
+            "spec": {
+                "host": "shop.example",
+                "prefix": "/b/",
+                "kind": "unsafe",
+                "timeoutS": 1.2,
+                "targetLatencyS": 0.6,
+                "priority": 1,
+                "service": "s1",
+                "maxAttempts": 1,
+            },
+        },
+        {
+            "typeUrl": "services",
+            "metadata": {"name": "s1"},
+            "spec": {"healthPath": "/health", "maxConnections": 130},
+        },
+        {
+            "typeUrl": "services",
+            "metadata": {"name": "s2"},
+            "spec": {"healthPath": "/health", "maxConnections": 130},
+        },
+        {
+            "typeUrl": "limits",
+            "metadata": {},
+            "spec": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 67108864,
+                "headerTimeoutS": 3,
+                "idleTimeoutS": 15,
+            },
+        },
+    ],
+}
+REPORT = {
+    "service": "s1",
+    "address": "10.128.0.9:8080",
+    "zone": "za",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "coldRemainingS": 0.5,
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+def item(value, key="op/config") -> MirrorItem:
+    return MirrorItem(key, 5, json.dumps(value).encode())
+
+
+class ConfigurationTests(testtools.TestCase):
+    def test_whole_configuration(self):
+        declaration = decode_item(item(CONFIGURATION))
+        self.assertIsInstance(declaration, Declaration)
+        self.assertEqual(28, declaration.version)
+        split, plain = declaration.routes
+        self.assertEqual((ServiceShare("s1", 90), ServiceShare("s2", 10)), split.shares)
+        self.assertTrue(split.is_idempotent)
+        self.assertFalse(plain.is_idempotent)
+        self.assertEqual((ServiceShare("s1", 1),), plain.shares)
+        self.assertEqual({"s1": 130, "s2": 130}, declaration.connection_limits)
+        self.assertEqual(15, declaration.limits.idle_timeout_s)
+
+    def test_a_missing_or_mistyped_field_refuses_the_whole(self):
+        spec = CONFIGURATION["resources"][0]["spec"]
+        for name in ("host", "prefix", "kind", "timeoutS", "maxAttempts"):
+            for replacement in (None, {}, True):
+                changed = json.loads(json.dumps(CONFIGURATION))
+                changed["resources"][0]["spec"] = spec | {name: replacement}
+                error = self.assertRaises(GuavagapError, decode_item, item(changed))
+                self.assertEqual(ErrorKind.CONFIGURATION_REJECTED, error.kind)
+
+    @given(strategies.binary(max_size=60))
+    def test_hostile_bytes_are_refused_by_name(self, body):
+        for key in ("op/config", "op/rollout/s1"):
+            try:
+                decode_item(MirrorItem(key, 1, body))
+            except GuavagapError as error:
+                self.assertEqual(ErrorKind.CONFIGURATION_REJECTED, error.kind)
+
+    def test_rollout_order(self):
+        value = {"service": "s1", "targetVersion": "v2", "durationS": 12}
+        order = decode_item(item(value, "op/rollout/s1"))
+        self.assertEqual(("s1", "v2", 12.0), tuple(order))
+
+    def test_other_keys_and_removed_items_hold_nothing(self):
+        self.assertIsNone(decode_item(item({}, "op/other")))
+        self.assertIsNone(decode_item(MirrorItem("op/config", 1, None)))
+
+
+class ReportTests(testtools.TestCase):
+    def test_heartbeat(self):
+        report = decode_report("i-1", json.dumps(REPORT).encode())
+        self.assertEqual(("i-1", 4, False), (report.server_id, report.sequence, False))
+        self.assertEqual(1700000000000, report.born_ms)
+        without_born = {k: v for k, v in REPORT.items() if k != "born"}
+        report = decode_report("i-1", json.dumps(without_born).encode())
+        self.assertEqual(0, report.born_ms)
+
+    def test_heartbeats_of_other_writers_are_refused(self):
+        for change in (
+            {"state": "odd"},
+            {"slots": 0},
+            {"slots": "6"},
+            {"seq": None},
+            {"address": "host:80"},
+            {"service": 7},
+        ):
+            body = json.dumps(REPORT | change).encode()
+            error = self.assertRaises(GuavagapError, decode_report, "i-1", body)
+            self.assertEqual(ErrorKind.BAD_REQUEST, error.kind)
+
+    @given(strategies.binary(max_size=60))
+    def test_hostile_bytes_are_refused_by_name(self, body):
+        error = self.assertRaises(GuavagapError, decode_report, "i-1", body)
+        self.assertEqual(ErrorKind.BAD_REQUEST, error.kind)
+
+
+class StatusTests(testtools.TestCase):
+    def test_state_for_the_operator(self):
+        for state, told in (
+            ("running", "running"),
+            ("completed", "completed"),
+            ("rolled_back", "rolled_back"),
+        ):
+            key, body = encode_status("s1", {"state": state, "to_version": "v2"})
+            self.assertEqual("status/rollout/s1", key)
+            self.assertEqual({"state": told, "targetVersion": "v2"}, json.loads(body))
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,115 @@
+"""Tests of the store's client against the stand-in store."""
+
+import curio
+
+from guavagap.addresses import Address
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.http_messages import accept_connections, serve_http
+from guavagap.metadata_store import Write
+from guavagap.platform.store import open_store_client
+from guavagap.tasks import open_task_scope
+from guavagap.tcp import open_listener
+from standins.fleet import free_ports
+from standins.platform_server import PAGE_ITEMS, PlatformServer
+from tests.cases import AsyncTestCase
+
+
+class StoreClientTests(AsyncTestCase):
+    def check(self, function):
+        self.run_async(self.with_client, function)
+
+    async def with_client(self, function):
+        address = Address("127.0.0.1", free_ports(1)[0])
+        server = PlatformServer()
+
+        async def serve(sock):
+            await serve_http(sock, server.handle)
+
+        async with open_task_scope("test") as scope:
+            await scope.spawn(accept_connections, open_listener(address), scope, serve)
+            async with open_store_client(address, 1.0) as client:
+                await function(server, client)
+
+    async def assert_kind(self, kind, awaitable):
+        try:
+            await awaitable
+        except GuavagapError as error:
+            self.assertEqual(kind, error.kind)
+        else:
+            self.fail(f"{kind} was not raised")
+
+    def test_list_reads_every_page(self):
+        async def case(server, client):
+            count = PAGE_ITEMS + 20
+            for number in range(count):
+                await server.store.transact({}, [(f"a/{number:04}", b"1", 0)], [])
+            listing = await client.list_prefix("a/")
+            self.assertEqual(count, len(listing.items))
+            self.assertEqual(server.store.revision, listing.as_of)
+
+        self.check(case)
+
+    def test_watch_returns_changes_and_deletions_in_order(self):
+        async def case(server, client):
+            start = server.store.revision
+            await client.transact({}, [Write("a", b"1")])
+            await client.transact({}, [], ["a"])
+            listing = await client.watch_prefix("", start, 5)
+            self.assertEqual(
+                [("a", b"1"), ("a", None)], [(i.key, i.body) for i in listing.items]
+            )
+            waiting = await curio.spawn(client.watch_prefix, "b", listing.as_of, 5)
+            await curio.sleep(0.05)
+            await client.transact({}, [Write("b", b"2")])
+            self.assertEqual(b"2", (await waiting.join()).items[0].body)
+
+        self.check(case)
+
+    def test_forgotten_history_is_told(self):
+        async def case(server, client):
+            await client.transact({}, [Write("a", b"1")])
+            server.store.compact()
+            await self.assert_kind(
+                ErrorKind.HISTORY_LOST, client.watch_prefix("", 1, 1)
+            )
+
+        self.check(case)
+
+    def test_condition_that_does_not_hold_returns_what_is_there(self):
+        async def case(server, client):
+            await client.transact({"a": 0}, [Write("a", b"1")])
+            outcome = await client.transact({"a": 0, "b": 0}, [Write("a", b"2")])
+            self.assertIsNone(outcome.revision)
+            self.assertEqual([b"1", b""], [item.value for item in outcome.held])
+
+        self.check(case)
+
+    def test_leases(self):
+        async def case(server, client):
+            lease = await client.grant_lease(30)
+            await client.transact({}, [Write("a", b"1", lease.lease_id)])
+            self.assertTrue(await client.keep_lease(lease.lease_id))
+            await client.end_lease(lease.lease_id)
+            self.assertFalse(await client.keep_lease(lease.lease_id))
+            item, _ = await client.get("a")
+            self.assertIsNone(item)
+            await self.assert_kind(
+                ErrorKind.NOT_FOUND,
+                client.transact({}, [Write("a", b"1", lease.lease_id)]),
+            )
+
+        self.check(case)
+
+    def test_refusal_garbage_and_outage_have_their_kinds(self):
+        async def case(server, client):
+            for status in (429, 503):
+                server.knobs["busy_status"] = status
+                await self.assert_kind(ErrorKind.PLATFORM_BUSY, client.get("a"))
+            server.knobs.update(busy_status=0, garble_answers=1)
+            await self.assert_kind(
+                ErrorKind.PLATFORM_UNREACHABLE, client.list_prefix("")
+            )
+            server.knobs["is_down"] = True
+            await self.assert_kind(ErrorKind.PLATFORM_UNREACHABLE, client.get("a"))
+
+        self.check(case)
--- a/tests/test_operator_mesh.py
+++ b/tests/test_operator_mesh.py
@@ -111,6 +111,34 @@
         )
         self.assertEqual({200: 12}, dict(statuses))
 
+    def test_failures_of_safe_requests_are_replaced_by_another_attempt(self):
+        fleet = self.start()
+        fleet.set_upstream("i-a1", fail_share=1.0)
+        statuses = Counter(
+            fleet.request("a1", "/shop/x", f"q{number}").status for number in range(12)
+        )
+        self.assertEqual({200: 12}, dict(statuses))
+
+    def test_failure_of_every_backend_server_is_passed_on_with_its_stamp(self):
+        fleet = self.start()
+        for server_id in fleet.servers:
+            fleet.set_upstream(server_id, fail_share=1.0)
+        for path, method in (("/shop/x", "GET"), ("/pay/x", "POST")):
+            reply = fleet.request("a1", path, f"q{method}", method)
+            self.assertEqual(500, reply.status)
+            self.assertIn("x-server-stamp", reply.headers)
+        self.assertEqual(1, self.runs(fleet, "qPOST"))
+
+    def test_failing_backend_server_is_left_alone(self):
+        fleet = self.start()
+        fleet.set_upstream("i-a1", fail_share=1.0)
+        for number in range(30):
+            fleet.request("a1", "/pay/x", f"p{number}", "POST")
+        before = sum(fleet.ledger("i-a1")["runs"].values())
+        for number in range(20):
+            fleet.request("a1", "/pay/x", f"p2{number}", "POST")
+        self.assertLessEqual(sum(fleet.ledger("i-a1")["runs"].values()) - before, 2)
+
     def test_slots_are_never_exceeded_and_overload_is_refused_as_not_run(self):
         fleet = self.start(layout={"a1": "za"}, slots=2)
         fleet.set_upstream("i-a1", delay_s=0.4)
