Prefer a short wait in the own failure domain, and compress the heads of frames

Change: a node lets a request wait when the wait it expects is short, ingress nodes add a cost for another failure domain that grows with the answers of the route, and links compress everything but bodies with one state a direction.

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -39,11 +39,15 @@
 
 STRIKE_GOSSIP_TARGETS = 6
 FAILURE_STATUS = 500
-# How many nodes are asked for a free slot before the request waits for one.
-MAX_PROBES = 3
-# A request may wait for a slot this share of its target latency; the rest is left
-# for the work itself.
-WAIT_SHARE_OF_TARGET = 0.6
+# How many nodes are asked for a short wait before the request waits longer.
+MAX_PROBES = 2
+# How long a request may wait for a slot, as a share of its target latency: at first,
+# while others may be free, and at last. The rest is left for the work itself.
+FIRST_WAIT_SHARE_OF_TARGET = 0.3
+LAST_WAIT_SHARE_OF_TARGET = 0.6
+MAX_ROUTES_REMEMBERED = 5000
+# A mean over some ten answers.
+MEMORY_SHARE = 0.1
 # Below this share of its target latency another attempt comes to nothing.
 RETRY_TIME_SHARE_OF_TARGET = 0.3
 
@@ -115,6 +119,7 @@
         self._dialect = dialect
         self._counts = counts
         self._budgets: dict[tuple[str, str, float], RetryBudget] = {}
+        self._answer_bytes: dict[str, float] = {}
 
     async def run(self, exchange: Exchange) -> None:
         """Make attempts until one succeeds or none is allowed any more.
@@ -206,7 +211,11 @@
     def _choose(self, exchange: Exchange, progress: _Progress) -> Target:
         share = exchange.share
         target = self._node.router.choose_target(
-            share, exchange.version, progress.failed, progress.busy
+            share,
+            exchange.version,
+            progress.failed,
+            progress.busy,
+            self._answer_bytes.get(exchange.route.name, 0.0),
         )
         if target is not None:
             return target
@@ -221,11 +230,12 @@
         """Return the exchange with how long it may wait where it goes next."""
         if not self._node.is_forwarding_only:
             return exchange
-        wait_s = 0.0
+        share = FIRST_WAIT_SHARE_OF_TARGET
         if len(progress.busy) >= self._probes(exchange, progress):
-            elapsed_s = time.monotonic() - exchange.started_s
-            limit_s = WAIT_SHARE_OF_TARGET * exchange.route.target_latency_s
-            wait_s = max(0.001, limit_s - elapsed_s)
+            share = LAST_WAIT_SHARE_OF_TARGET
+        elapsed_s = time.monotonic() - exchange.started_s
+        limit_s = share * exchange.route.target_latency_s
+        wait_s = max(0.001, limit_s - elapsed_s)
         request = exchange.request._replace(max_wait_s=wait_s)
         return exchange._replace(request=request)
 
@@ -378,10 +388,19 @@
             target.health.note_failure(now_s, is_unreachable=False)
         else:
             target.health.note_success()
+        if answer.is_complete:
+            self._note_size(exchange.route.name, sum(map(len, answer.chunks)))
         if exchange.fingerprint:
             self._node.poison.note_success(exchange.fingerprint)
         self._record(exchange, target, is_failure, now_s - started_s)
 
+    def _note_size(self, route_name: str, size_bytes: int) -> None:
+        """Keep a running mean of the size of a route's answers."""
+        mean = self._answer_bytes.get(route_name, size_bytes)
+        if len(self._answer_bytes) > MAX_ROUTES_REMEMBERED:
+            self._answer_bytes.clear()
+        self._answer_bytes[route_name] = mean + MEMORY_SHARE * (size_bytes - mean)
+
     def _learn_failure(
         self,
         exchange: Exchange,
--- a/guavagap/limits.py
+++ b/guavagap/limits.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import time
 from contextlib import asynccontextmanager
 from itertools import count
 from typing import NamedTuple
@@ -18,6 +19,8 @@
 QUEUE_PER_SLOT = 2
 RESERVE_BEYOND_SLOTS = 2
 LAPSE_HOLD_S = 10.0
+# The mean time of a run looks back over some ten runs.
+MEMORY_SHARE = 0.1
 
 
 def direct_connection_limit(connections: int, slots: int) -> int:
@@ -50,6 +53,7 @@
         self.slots = slots
         self.in_flight = 0
         self.is_draining = False
+        self._mean_run_s = 0.0
         self._numbers = count()
         self._waiting: list[tuple[int, int, _Turn]] = []
 
@@ -71,25 +75,38 @@
 
         Args:
             priority: 0 is the most urgent.
-            max_wait_s: limit of the wait; 0 not to wait, None for no limit.
+            max_wait_s: limit of the wait; None for no limit.
 
         Raises:
-            GuavagapError: DRAINING; SLOTS_TAKEN when it may not wait; OVERLOADED
-                when the queue is full or the wait too long. Nothing was run.
+            GuavagapError: DRAINING; SLOTS_TAKEN when the wait is expected to be
+                longer than allowed; OVERLOADED when the queue is full or the wait
+                was too long. Nothing was run.
         """
         await self._enter(priority, max_wait_s)
+        started_s = time.monotonic()
         try:
             yield
         finally:
+            self._note_run(time.monotonic() - started_s)
             await self._leave()
 
+    def _note_run(self, run_s: float) -> None:
+        if not self._mean_run_s:
+            self._mean_run_s = run_s
+        self._mean_run_s += MEMORY_SHARE * (run_s - self._mean_run_s)
+
+    def expected_wait_s(self, priority: int) -> float:
+        """Return how long a request would wait for a slot, by the latest runs."""
+        ahead = sum(entry[0] <= priority for entry in self._waiting)
+        return (ahead + 1) * self._mean_run_s / self.slots
+
     async def _enter(self, priority: int, max_wait_s: float | None) -> None:
         if self.is_draining:
             raise GuavagapError(ErrorKind.DRAINING, "the backend server is leaving")
         if self.in_flight < self.slots:
             self.in_flight += 1
             return
-        if max_wait_s == 0:
+        if max_wait_s is not None and self.expected_wait_s(priority) > max_wait_s:
             raise GuavagapError(ErrorKind.SLOTS_TAKEN, "every slot is taken")
         if len(self._waiting) >= self.slots * QUEUE_PER_SLOT:
             await self._make_room(priority)
--- a/guavagap/link.py
+++ b/guavagap/link.py
@@ -3,7 +3,9 @@
 Each direction starts with a ``Hello`` and a ``Proof`` of the mesh key over both
 nonces. Later frames carry a code under a key of the connection and direction
 over a running number, so a changed, replayed or reordered frame ends the link.
-The dialing node opens streams and makes calls; the accepting node answers.
+They are compressed with one state for each direction, which leaves little of the
+headers that repeat; the bodies of calls are sent as they are. The dialing node
+opens streams and makes calls; the accepting node answers.
 """
 
 import hashlib
@@ -11,6 +13,7 @@
 import os
 import struct
 import time
+import zlib
 from collections import Counter
 from contextlib import asynccontextmanager
 from typing import NamedTuple
@@ -23,6 +26,7 @@
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.messages import (
     Hello,
+    OpenStream,
     Proof,
     StreamAnswer,
     StreamCredit,
@@ -44,6 +48,13 @@
 RECEIVE_BYTES = 65_536
 _LENGTH = struct.Struct(">I")
 _SEQUENCE = struct.Struct(">Q")
+# A small window holds the headers of the latest calls and costs 35 kB a link.
+WINDOW_BITS = 12
+MEMORY_LEVEL = 4
+COMPRESSION_LEVEL = 6
+# Ends each flush, so it need not be sent.
+SYNC_MARK = b"\x00\x00\xff\xff"
+_CONTENT_MESSAGES = (OpenStream, StreamAnswer, StreamData)
 _STREAM_MESSAGES = (StreamAnswer, StreamCredit, StreamData, StreamReset)
 
 
@@ -68,6 +79,10 @@
 
     def __init__(self, sock, counts: TrafficCounts):
         self.sock = sock
+        self._packer = zlib.compressobj(
+            COMPRESSION_LEVEL, zlib.DEFLATED, -WINDOW_BITS, MEMORY_LEVEL
+        )
+        self._unpacker = zlib.decompressobj(-WINDOW_BITS)
         self._counts = counts
         self._buffer = bytearray()
         self._send_lock = curio.Lock()
@@ -80,10 +95,16 @@
 
     async def send(self, message) -> None:
         """Send one frame; a failure or a cancelled send breaks the channel."""
-        body = encode_frame(message)
+        content = message.body if isinstance(message, _CONTENT_MESSAGES) else b""
+        if content:
+            message = message._replace(body=b"")
+        head = encode_frame(message)
         async with self._send_lock:
             if self.is_broken:
                 raise GuavagapError(ErrorKind.LINK_LOST, "the link is closed")
+            head = self._packer.compress(head) + self._packer.flush(zlib.Z_SYNC_FLUSH)
+            head = head.removesuffix(SYNC_MARK)
+            body = _LENGTH.pack(len(head)) + head + content
             mac = _frame_mac(self._send_key, self._sent, body)
             self._sent += 1
             packet = _LENGTH.pack(len(body)) + mac + body
@@ -115,12 +136,33 @@
                 ErrorKind.AUTHENTICATION_FAILED, "a frame with a wrong code"
             )
         self._received += 1
-        message = decode_frame(body)
+        message = self._unpack(body)
         name = type(message).__name__
         self._counts.received_bytes[name] += len(head) + len(mac) + len(body)
         self._counts.received_frames[name] += 1
         return message
 
+    def _unpack(self, body: bytes):
+        """Return the message of a frame whose code was right."""
+        if len(body) < _LENGTH.size:
+            raise GuavagapError(ErrorKind.FRAME_INVALID, "a frame without a head")
+        (head_bytes,) = _LENGTH.unpack(body[: _LENGTH.size])
+        end = _LENGTH.size + head_bytes
+        try:
+            packed = body[_LENGTH.size : end] + SYNC_MARK
+            head = self._unpacker.decompress(packed, MAX_FRAME_BYTES)
+        except zlib.error as error:
+            raise GuavagapError(ErrorKind.FRAME_INVALID, str(error)) from None
+        if self._unpacker.unconsumed_tail:
+            raise GuavagapError(ErrorKind.FRAME_INVALID, "a head that is too large")
+        message = decode_frame(head)
+        content = body[end:]
+        if not content:
+            return message
+        if not isinstance(message, _CONTENT_MESSAGES):
+            raise GuavagapError(ErrorKind.FRAME_INVALID, "content without a place")
+        return message._replace(body=content)
+
     async def _read(self, size_bytes: int) -> bytes:
         buffer = self._buffer
         while len(buffer) < size_bytes:
--- a/guavagap/routing.py
+++ b/guavagap/routing.py
@@ -19,12 +19,11 @@
 FULL_WEIGHT_PERMILLE = 1000
 SUBSET = 2
 MAX_ORDERS = 2000
-# A target of another failure domain has to be this many times faster: crossing
-# costs a round trip, and bytes that are paid for.
-FAR_FACTOR = 1.5
-# Share of requests that may go to another failure domain without that, so that
-# servers which have none of their own callers are seen.
-EXPLORING_SHARE = 0.02
+# How much sooner a target of another failure domain has to be expected to answer,
+# in target latencies: crossing costs a round trip, and bytes that are paid for. A
+# few waiting requests in the own failure domain are the lesser evil.
+FAR_COST = 0.2
+FAR_COST_PER_KIB = 0.03
 # A server is some two times slower in its first seconds.
 COLD_S = 3.0
 COLD_FACTOR = 2.0
@@ -186,6 +185,7 @@
         version: str,
         excluded: set[str],
         busy: set[str] = frozenset(),
+        answer_bytes: float = 0.0,
     ) -> Target | None:
         """Return a target for a request, or None when there is none.
 
@@ -195,13 +195,18 @@
             excluded: backend servers already tried.
             busy: backend servers that had no free slot a moment ago; they are
                 left out while there are others.
+            answer_bytes: usual size of the request's answers.
         """
         targets = self._targets(share, version, excluded)
         free = tuple(item for item in targets if item.server.server_id not in busy)
         targets = free or targets
-        return self._choose_among(share, targets) if targets else None
+        if not targets:
+            return None
+        return self._choose_among(share, targets, answer_bytes)
 
-    def _choose_among(self, share: RouteShare, targets: tuple[Target, ...]) -> Target:
+    def _choose_among(
+        self, share: RouteShare, targets: tuple[Target, ...], answer_bytes: float
+    ) -> Target:
         if len(targets) == 1:
             return targets[0]
         now_s = time.monotonic()
@@ -265,7 +270,9 @@
     slower.
     """
 
-    def _choose_among(self, share: RouteShare, targets: tuple[Target, ...]) -> Target:
+    def _choose_among(
+        self, share: RouteShare, targets: tuple[Target, ...], answer_bytes: float
+    ) -> Target:
         now_s = time.monotonic()
         healthy = self._healthy(share, list(targets), now_s)
         usual = _usual_slowness(healthy, now_s)
@@ -275,10 +282,11 @@
         ]
         best = min(rows)
         near = [row for row in rows if row[2].failure_domain == self._own_domain]
-        if not near or random.random() < EXPLORING_SHARE:
+        if not near:
             return best[2]
         best_near = min(near)
-        return best_near[2] if best_near[0] <= FAR_FACTOR * best[0] else best[2]
+        far_cost = FAR_COST + FAR_COST_PER_KIB * answer_bytes / 1024
+        return best_near[2] if best_near[0] <= best[0] + far_cost else best[2]
 
     def _expected_time(self, target: Target, usual: float, now_s: float) -> float:
         """Return the time that a request is expected to take, in target latencies."""
