--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -43,7 +43,7 @@
 MAX_PROBES = 2
 # How long a request may wait for a slot, as a share of its target latency: at first,
 # while others may be free, and at last. The rest is left for the work itself.
-FIRST_WAIT_SHARE_OF_TARGET = 0.3
+FIRST_WAIT_SHARE_OF_TARGET = 0.4
 LAST_WAIT_SHARE_OF_TARGET = 0.6
 MAX_ROUTES_REMEMBERED = 5000
 # A mean over some ten answers.
--- a/guavagap/daemon.py
+++ b/guavagap/daemon.py
@@ -23,7 +23,6 @@
 log = get_logger()
 
 DRAIN_CHECK_S = 0.05
-DRAIN_GRACE_S = 1.0
 # The rest of the time is left for closing down before the process is killed.
 DRAIN_SHARE = 0.93
 YOUNG_THRESHOLD = 20_000
@@ -93,14 +92,20 @@
 
 
 async def _drain(node: Node, acceptor: curio.Task) -> None:
-    """Leave the mesh, then finish what is in flight within the time allowed."""
+    """Leave the mesh, then finish what is in flight within the time allowed.
+
+    Where callers need time to learn that the node stops, it serves them and other
+    nodes in full meanwhile, so that its backend server is missed for less long.
+    """
     node.is_draining = True
     deadline_s = time.monotonic() + node.settings.drain_timeout_s * DRAIN_SHARE
-    await node.leave()
     await curio.sleep(node.deployment.accept_after_stop_s)
+    await node.leave()
     await acceptor.cancel()
-    # Callers with kept connections learn from their next answer that it ends.
-    await curio.sleep(min(DRAIN_GRACE_S, node.settings.drain_timeout_s))
+    # Other nodes learn from their next message, and callers with kept connections
+    # from their next answer, that this one ends.
+    notice_s = min(node.deployment.stop_notice_s, node.settings.drain_timeout_s)
+    await curio.sleep(notice_s)
     while time.monotonic() < deadline_s and _work_in_flight(node):
         await curio.sleep(DRAIN_CHECK_S)
 
--- a/guavagap/deployment.py
+++ b/guavagap/deployment.py
@@ -18,6 +18,7 @@
         is_forwarding_only: whether a backend server is reached from its VM only.
         accept_after_stop_s: how long callers may still connect to a node that is
             shutting down.
+        stop_notice_s: time between the word that a node leaves and its end.
         router_class: chooses targets.
         configuration: what is held and routed by.
         mesh_key_bytes: key of links and datagrams.
@@ -27,6 +28,7 @@
     dialect: Dialect
     is_forwarding_only: bool
     accept_after_stop_s: float
+    stop_notice_s: float
     router_class: type
     mesh_key_bytes: bytes
     call_counts: Counter[str]
--- a/guavagap/documents_deployment.py
+++ b/guavagap/documents_deployment.py
@@ -25,6 +25,7 @@
 
 log = get_logger()
 
+STOP_NOTICE_S = 1.0
 LEARN_TIMEOUT_S = 1.0
 LEARN_BACKOFF_FIRST_S = 0.2
 LEARN_BACKOFF_LIMIT_S = 3.0
@@ -44,6 +45,7 @@
     dialect = NATIVE_DIALECT
     is_forwarding_only = False
     accept_after_stop_s = 0.0
+    stop_notice_s = STOP_NOTICE_S
     router_class = Router
 
     def __init__(self, settings: Settings, platform: KeyValueStore):
--- a/guavagap/limits.py
+++ b/guavagap/limits.py
@@ -114,8 +114,10 @@
         entry = (priority, next(self._numbers), turn)
         heapq.heappush(self._waiting, entry)
         try:
-            async with curio.ignore_after(max_wait_s):
+            if max_wait_s is None:
                 await turn.event.wait()
+            else:
+                await curio.ignore_after(max_wait_s, turn.event.wait)
         except BaseException:
             if turn.event.is_set() and turn.refusal is None:
                 await self._leave()
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -48,7 +48,9 @@
 # Enough contacts that membership spreads although some of them are gone.
 MAX_INTRODUCTIONS = 6
 # Clients learn within two checks, a second apart, that a node is not ready.
-ACCEPT_AFTER_STOP_S = 2.6
+ACCEPT_AFTER_STOP_S = 2.4
+# Other nodes are told at once; those that miss it are refused and go elsewhere.
+STOP_NOTICE_S = 0.2
 # A node spends at most this part of its share of the retries that are allowed, for
 # windows overlap, membership changes and calls of repeated requests count too.
 RETRY_SHARE_USED = 0.4
@@ -86,6 +88,7 @@
 
     is_forwarding_only = True
     accept_after_stop_s = ACCEPT_AFTER_STOP_S
+    stop_notice_s = STOP_NOTICE_S
     router_class = ForwardingRouter
 
     def __init__(
--- a/guavagap/routing.py
+++ b/guavagap/routing.py
@@ -22,7 +22,7 @@
 # How much sooner a target of another failure domain has to be expected to answer,
 # in target latencies: crossing costs a round trip, and bytes that are paid for. A
 # few waiting requests in the own failure domain are the lesser evil.
-FAR_COST = 0.2
+FAR_COST = 1.0
 FAR_COST_PER_KIB = 0.03
 # A server is some two times slower in its first seconds.
 COLD_S = 3.0
