Order waiting requests by when they are due, and judge slowness by server and moment

Cause 1: calls that another request waits for were queued behind fresh work of more urgent routes, and refused after 0.6 of their short target latency; each cost its parent. Change 1: the queue of a backend server is ordered by target latency and priority, and a request waits for up to half of the time that it has left.

Change 2: a server and tick count as three requests at most when time is judged, and the old version is granted the tenth of slow requests by which slowness is defined.

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -41,10 +41,12 @@
 FAILURE_STATUS = 500
 # How many nodes are asked for a short wait before the request waits longer.
 MAX_PROBES = 2
-# How long a request may wait for a slot, as a share of its target latency: at first,
-# while others may be free, and at last. The rest is left for the work itself.
+# How long a request may wait for a slot: a share of its target latency at first,
+# while others may be free, and a share of its time at last. The rest is left for the
+# work itself.
 FIRST_WAIT_SHARE_OF_TARGET = 0.4
-LAST_WAIT_SHARE_OF_TARGET = 0.6
+LAST_WAIT_SHARE_OF_TIME_LEFT = 0.5
+MIN_WAIT_S = 0.001
 MAX_ROUTES_REMEMBERED = 5000
 # A mean over some ten answers.
 MEMORY_SHARE = 0.1
@@ -230,12 +232,14 @@
         """Return the exchange with how long it may wait where it goes next."""
         if not self._node.is_forwarding_only:
             return exchange
-        share = FIRST_WAIT_SHARE_OF_TARGET
-        if len(progress.busy) >= self._probes(exchange, progress):
-            share = LAST_WAIT_SHARE_OF_TARGET
-        elapsed_s = time.monotonic() - exchange.started_s
-        limit_s = share * exchange.route.target_latency_s
-        wait_s = max(0.001, limit_s - elapsed_s)
+        now_s = time.monotonic()
+        left_s = exchange.request.deadline_s - now_s
+        if len(progress.busy) < self._probes(exchange, progress):
+            limit_s = FIRST_WAIT_SHARE_OF_TARGET * exchange.route.target_latency_s
+            wait_s = limit_s - (now_s - exchange.started_s)
+        else:
+            wait_s = LAST_WAIT_SHARE_OF_TIME_LEFT * left_s
+        wait_s = max(MIN_WAIT_S, wait_s)
         request = exchange.request._replace(max_wait_s=wait_s)
         return exchange._replace(request=request)
 
--- a/guavagap/backend_front.py
+++ b/guavagap/backend_front.py
@@ -99,7 +99,9 @@
         Raises:
             GuavagapError: see :func:`guavagap.exchange.relay_exchange`.
         """
-        async with self.admission.admit(request.priority, request.max_wait_s):
+        async with self.admission.admit(
+            request.priority, request.max_wait_s, request.target_latency_s
+        ):
             if time.monotonic() >= request.deadline_s:
                 raise GuavagapError(
                     ErrorKind.DEADLINE_BEFORE_RUN, "the deadline passed in the queue"
--- a/guavagap/evidence.py
+++ b/guavagap/evidence.py
@@ -20,6 +20,8 @@
 LATENCY_BOUNDS_MS = (1, 2, 3, 5, 8, 12, 20, 32, 50, 80, 125, 200, 320, 500, 1000, 2500)
 WINDOW_TICKS = (5, 30)
 COLD_REQUESTS = 30
+# Requests of one server and tick that count as independent when time is judged.
+INDEPENDENT_REQUESTS = 3
 BUCKETS = len(LATENCY_BOUNDS_MS) + 1
 
 
@@ -40,9 +42,9 @@
             bucket is beyond the last bound.
     """
 
-    requests: int
-    failures: int
-    latency_buckets: tuple[int, ...]
+    requests: float
+    failures: float
+    latency_buckets: tuple[float, ...]
 
 
 def merge_sums(first: EvidenceSum, second: EvidenceSum) -> EvidenceSum:
@@ -63,6 +65,19 @@
     )
 
 
+def thin_out(counts: EvidenceSum) -> EvidenceSum:
+    """Return counts of one server and tick as if of a few requests.
+
+    A process or a VM that stands still for a moment delays every request that is
+    in it then. They are one observation rather than many.
+    """
+    if counts.requests <= INDEPENDENT_REQUESTS:
+        return counts
+    scale = INDEPENDENT_REQUESTS / counts.requests
+    buckets = tuple(count * scale for count in counts.latency_buckets)
+    return EvidenceSum(INDEPENDENT_REQUESTS, counts.failures * scale, buckets)
+
+
 EMPTY_SUM = EvidenceSum(0, 0, (0,) * BUCKETS)
 
 
@@ -151,7 +166,7 @@
     def _subtract(self, tick: dict[EvidenceKey, EvidenceSum]) -> None:
         for key, counts in tick.items():
             left = subtract_sums(self.sums[key], counts)
-            if left.requests:
+            if left.requests > 0:
                 self.sums[key] = left
             else:
                 del self.sums[key]
@@ -188,7 +203,9 @@
             key = EvidenceKey(row.service, row.version, row.route, row.server_id)
             counts = EvidenceSum(row.requests, row.failures, row.latency_buckets)
             tick[key] = merge_sums(tick.get(key, EMPTY_SUM), counts)
-        warm = {key: counts for key, counts in tick.items() if self._is_warm(key)}
+        warm = {
+            key: thin_out(counts) for key, counts in tick.items() if self._is_warm(key)
+        }
         for key, counts in tick.items():
             self._requests_of_server[key.server_id] += counts.requests
             if key.version == self.old_version:
--- a/guavagap/limits.py
+++ b/guavagap/limits.py
@@ -21,6 +21,8 @@
 LAPSE_HOLD_S = 10.0
 # The mean time of a run looks back over some ten runs.
 MEMORY_SHARE = 0.1
+# Each step of priority lets a request wait for a quarter of its target longer.
+PRIORITY_WEIGHT = 0.25
 
 
 def direct_connection_limit(connections: int, slots: int) -> int:
@@ -43,19 +45,21 @@
 
 
 class Admission:
-    """Admits up to ``slots`` requests and lets a few more wait, by priority.
+    """Admits up to ``slots`` requests and lets a few more wait, soonest due first.
 
     Args:
         slots: how many requests run at once.
+        clock: monotonic seconds.
     """
 
-    def __init__(self, slots: int):
+    def __init__(self, slots: int, clock=time.monotonic):
         self.slots = slots
+        self._clock = clock
         self.in_flight = 0
         self.is_draining = False
         self._mean_run_s = 0.0
         self._numbers = count()
-        self._waiting: list[tuple[int, int, _Turn]] = []
+        self._waiting: list[tuple[float, int, _Turn]] = []
 
     @property
     def queue_length(self) -> int:
@@ -70,24 +74,34 @@
             await _refuse(turn, ErrorKind.DRAINING, "the backend server is leaving")
 
     @asynccontextmanager
-    async def admit(self, priority: int = 1, max_wait_s: float | None = None):
+    async def admit(
+        self,
+        priority: int = 1,
+        max_wait_s: float | None = None,
+        target_latency_s: float = 0.0,
+    ):
         """Hold a slot for one request; the caller's timeout bounds the wait too.
 
+        Requests of a short target latency, such as calls that another request
+        waits for, go before those that have more time.
+
         Args:
             priority: 0 is the most urgent.
             max_wait_s: limit of the wait; None for no limit.
+            target_latency_s: time within which an answer is worth most.
 
         Raises:
             GuavagapError: DRAINING; SLOTS_TAKEN when the wait is expected to be
                 longer than allowed; OVERLOADED when the queue is full or the wait
                 was too long. Nothing was run.
         """
-        await self._enter(priority, max_wait_s)
-        started_s = time.monotonic()
+        allowance_s = target_latency_s * (1 + PRIORITY_WEIGHT * priority)
+        await self._enter(self._clock() + allowance_s, max_wait_s)
+        started_s = self._clock()
         try:
             yield
         finally:
-            self._note_run(time.monotonic() - started_s)
+            self._note_run(self._clock() - started_s)
             await self._leave()
 
     def _note_run(self, run_s: float) -> None:
@@ -95,23 +109,23 @@
             self._mean_run_s = run_s
         self._mean_run_s += MEMORY_SHARE * (run_s - self._mean_run_s)
 
-    def expected_wait_s(self, priority: int) -> float:
+    def expected_wait_s(self, due_s: float) -> float:
         """Return how long a request would wait for a slot, by the latest runs."""
-        ahead = sum(entry[0] <= priority for entry in self._waiting)
+        ahead = sum(entry[0] <= due_s for entry in self._waiting)
         return (ahead + 1) * self._mean_run_s / self.slots
 
-    async def _enter(self, priority: int, max_wait_s: float | None) -> None:
+    async def _enter(self, due_s: float, max_wait_s: float | None) -> None:
         if self.is_draining:
             raise GuavagapError(ErrorKind.DRAINING, "the backend server is leaving")
         if self.in_flight < self.slots:
             self.in_flight += 1
             return
-        if max_wait_s is not None and self.expected_wait_s(priority) > max_wait_s:
+        if max_wait_s is not None and self.expected_wait_s(due_s) > max_wait_s:
             raise GuavagapError(ErrorKind.SLOTS_TAKEN, "every slot is taken")
         if len(self._waiting) >= self.slots * QUEUE_PER_SLOT:
-            await self._make_room(priority)
+            await self._make_room(due_s)
         turn = _Turn()
-        entry = (priority, next(self._numbers), turn)
+        entry = (due_s, next(self._numbers), turn)
         heapq.heappush(self._waiting, entry)
         try:
             if max_wait_s is None:
@@ -130,21 +144,21 @@
             self._forget(entry)
             raise GuavagapError(ErrorKind.OVERLOADED, "no slot in time")
 
-    async def _make_room(self, priority: int) -> None:
+    async def _make_room(self, due_s: float) -> None:
         """Send the least urgent request away, unless that is the new one."""
         entry = max(self._waiting)
-        if entry[0] <= priority:
+        if entry[0] <= due_s:
             raise GuavagapError(ErrorKind.OVERLOADED, "the queue is full")
         self._forget(entry)
         await _refuse(entry[2], ErrorKind.OVERLOADED, "a more urgent request came")
 
-    def _forget(self, entry: tuple[int, int, _Turn]) -> None:
+    def _forget(self, entry: tuple[float, int, _Turn]) -> None:
         if entry in self._waiting:
             self._waiting.remove(entry)
             heapq.heapify(self._waiting)
 
     async def _leave(self) -> None:
-        """Give the slot to the most urgent request that has waited longest."""
+        """Give the slot to the waiting request that is due first."""
         if self._waiting:
             _, _, turn = heapq.heappop(self._waiting)
             await turn.event.set()
--- a/guavagap/rollouts.py
+++ b/guavagap/rollouts.py
@@ -165,9 +165,12 @@
     evidence: RouteEvidence,
     by_server: dict[str, EvidenceSum],
     count_of,
+    least_base_share: float = 0.0,
 ) -> bool:
     """Return whether the new version has too many of what ``count_of`` counts.
 
+    The old version is granted ``least_base_share`` of them at least.
+
     One bad server of several is not a bad version: without the worst one there
     must still be a sign of it.
     """
@@ -176,7 +179,7 @@
         return False
     if policy.failing_ratio:
         return _is_over_threshold(policy, evidence.old, new, count_of)
-    base_share = _base_share(evidence, count_of)
+    base_share = max(least_base_share, _base_share(evidence, count_of))
     bound = -math.log(policy.false_alarm)
     if _log_ratio(count_of(new), new.requests, base_share) < bound:
         return False
@@ -208,11 +211,11 @@
     def count_slow(counts: EvidenceSum) -> int:
         return sum(counts.latency_buckets[bucket:])
 
-    if _is_excess(policy, evidence, evidence.warm_by_server, count_slow):
+    if _is_excess(policy, evidence, evidence.warm_by_server, count_slow, SLOW_SHARE):
         new = _total(evidence.warm_by_server)
         return Finding(
             evidence.route,
-            f"route {evidence.route}: {count_slow(new)} of {new.requests} requests"
+            f"route {evidence.route}: {count_slow(new):.0f} of {new.requests} requests"
             f" were slow, against {count_slow(old)} of {old.requests}",
         )
     return None
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -65,6 +65,15 @@
         ticks = [[fast, make_row("v2", 25, bucket=9)] for _ in range(4)]
         self.assertIn("slow", self.find(*ticks).reason)
 
+    def test_a_stall_of_some_servers_is_not_taken_for_slowness(self):
+        usual = [make_row("v1", 40, server=f"o{n}") for n in range(4)]
+        usual += [make_row("v2", 40, server=f"n{n}") for n in range(4)]
+        stalled = [make_row("v1", 40, server=f"o{n}") for n in range(4)]
+        for number in range(4):
+            bucket = 9 if number < 2 else 2
+            stalled.append(make_row("v2", 40, server=f"n{number}", bucket=bucket))
+        self.assertIsNone(self.find(usual, usual, stalled, usual))
+
     def test_one_bad_server_of_four_is_not_a_bad_version(self):
         rows = [make_row("v1", 2000, 2)]
         rows += [make_row("v2", 50, 0, server=f"s{n}") for n in range(3)]
