Leave refusing backend servers alone, and give up on unreachable nodes sooner

Nodes behind a cut were dialed for up to 3 s each.

Change: a refusal counts as a failure in the means of the backend server's node, which also reach this node's own requests; dialing takes 0.5 s at most, data that is not acknowledged ends a connection after 0.8 s, and a target that cost long without being reached is left alone at once.

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -413,8 +413,12 @@
         started_s: float,
     ) -> None:
         now_s = time.monotonic()
+        front = self._node.fronts.get(target.server.server_id)
+        if front is not None:
+            target.health.note_condition(front.condition(), now_s)
         if error.kind in _UNREACHABLE_KINDS:
-            target.health.note_failure(now_s, is_unreachable=True)
+            took_s = now_s - started_s
+            target.health.note_failure(now_s, is_unreachable=True, took_s=took_s)
             return
         if error.kind not in _FAILURE_KINDS:
             return
--- a/guavagap/backend_front.py
+++ b/guavagap/backend_front.py
@@ -24,7 +24,9 @@
 # The means look back over some ten requests: half a second of a busy server.
 MEMORY_SHARE = 0.1
 MAX_PERMILLE = 60_000
-_LOST_KINDS = (
+# A refusal counts too: admission had found a free slot.
+_FAILURE_KINDS = (
+    ErrorKind.REFUSED_BY_BACKEND_SERVER,
     ErrorKind.BACKEND_SERVER_LOST,
     ErrorKind.BACKEND_SERVER_PROTOCOL,
     ErrorKind.BODY_CUT_SHORT,
@@ -140,7 +142,7 @@
         try:
             return await relay_exchange(request, downstream, upstream, note_answer)
         except GuavagapError as error:
-            if not answered_s and error.kind in _LOST_KINDS:
+            if not answered_s and error.kind in _FAILURE_KINDS:
                 self._learn(request, True, time.monotonic() - started_s)
             raise
 
--- a/guavagap/directory.py
+++ b/guavagap/directory.py
@@ -19,6 +19,7 @@
 EJECT_AFTER_FAILURES = 5
 EJECT_AFTER_UNREACHABLE = 2
 EJECT_FIRST_S = 2.0
+COSTLY_FAILURE_S = 0.2
 EJECT_LIMIT_S = 30.0
 # A healthy backend server fails a few requests in a hundred, when those that it
 # calls fail; one that fails a fifth is worth leaving alone for a while.
@@ -86,11 +87,18 @@
         self.consecutive_failures = 0
         self.ejections = 0
 
-    def note_failure(self, now_s: float, is_unreachable: bool) -> None:
-        """Take a failed request; eject after several in a row."""
+    def note_failure(
+        self, now_s: float, is_unreachable: bool, took_s: float = 0.0
+    ) -> None:
+        """Take a failed request; eject after several in a row.
+
+        One that could not reach its target and took long about it is enough:
+        every further one would lose that time too.
+        """
         self.consecutive_failures += 1
         limit = EJECT_AFTER_UNREACHABLE if is_unreachable else EJECT_AFTER_FAILURES
-        if self.consecutive_failures < limit:
+        is_costly = is_unreachable and took_s > COSTLY_FAILURE_S
+        if self.consecutive_failures < limit and not is_costly:
             return
         duration_s = min(EJECT_LIMIT_S, EJECT_FIRST_S * 2**self.ejections)
         self.ejected_until_s = now_s + duration_s
--- a/guavagap/link.py
+++ b/guavagap/link.py
@@ -43,6 +43,9 @@
 MAC_BYTES = 16
 MAX_FRAME_BYTES = 2 * 1024 * 1024
 HANDSHAKE_TIMEOUT_S = 3.0
+# Several times the longest way between regions; beyond it the other node is gone,
+# frozen or cut off, and requests are better sent elsewhere.
+DIAL_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 3.0
 MAX_STREAMS = 512
 RECEIVE_BYTES = 65_536
@@ -355,7 +358,8 @@
 async def _open_link(sock, identity: LinkIdentity, counts: TrafficCounts, is_dialer):
     channel = _FrameChannel(sock, counts)
     try:
-        async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
+        limit_s = DIAL_TIMEOUT_S if is_dialer else HANDSHAKE_TIMEOUT_S
+        async with curio.timeout_after(limit_s):
             peer_id = await _handshake(channel, identity, is_dialer)
     except curio.TaskTimeout:
         await sock.close()
@@ -383,6 +387,6 @@
     Raises:
         GuavagapError: LINK_UNREACHABLE, AUTHENTICATION_FAILED.
     """
-    sock = await connect_tcp(address, HANDSHAKE_TIMEOUT_S, ErrorKind.LINK_UNREACHABLE)
+    sock = await connect_tcp(address, DIAL_TIMEOUT_S, ErrorKind.LINK_UNREACHABLE)
     async with _open_link(sock, identity, counts, is_dialer=True) as link:
         yield link
--- a/guavagap/tcp.py
+++ b/guavagap/tcp.py
@@ -17,7 +17,7 @@
 KEEPALIVE_PROBES = 2
 # Unacknowledged data ends a connection sooner: retransmissions within a data
 # centre succeed within tenths of a second.
-USER_TIMEOUT_MS = 1500
+USER_TIMEOUT_MS = 800
 
 
 def _family_of(address: Address):
--- a/tests/test_operator_mesh.py
+++ b/tests/test_operator_mesh.py
@@ -139,6 +139,19 @@
             fleet.request("a1", "/pay/x", f"p2{number}", "POST")
         self.assertLessEqual(sum(fleet.ledger("i-a1")["runs"].values()) - before, 2)
 
+    def test_backend_server_that_refuses_with_free_slots_is_left_alone(self):
+        fleet = self.start()
+        fleet.set_upstream("i-a1", refuse=True)
+        for number in range(30):
+            fleet.request("a1", "/pay/x", f"p{number}", "POST")
+        statuses = Counter(
+            fleet.request("a1", "/pay/x", f"p2{number}", "POST").status
+            for number in range(20)
+        )
+        refused = fleet.metrics("a1")['guavagap_requests_total{what="retries"}']
+        self.assertEqual({200: 20}, dict(statuses))
+        self.assertLess(refused, 25)
+
     def test_slots_are_never_exceeded_and_overload_is_refused_as_not_run(self):
         fleet = self.start(layout={"a1": "za"}, slots=2)
         fleet.set_upstream("i-a1", delay_s=0.4)
