--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -53,7 +53,7 @@
 STOP_NOTICE_S = 0.2
 # A node spends at most this part of its share of the retries that are allowed, for
 # windows overlap, membership changes and calls of repeated requests count too.
-RETRY_SHARE_USED = 0.4
+RETRY_SHARE_USED = 0.5
 
 
 class OperatorAdapter(NamedTuple):
