Tell a lost answer from a crash, serve a latency histogram, split what attempts learn

Cause: a lost answer counted as a strike against its request, and two of them from different backend servers refused every request with the same method, path and body for two minutes. A test with lost answers on one path showed it: 20 of 20 refused afterwards.

Change: the node beside a backend server connects to it again after a lost answer; only when that fails is it a crash. Nodes that cannot tell (direct connections) go on as before.

Ruled out: ejection of the backend servers (2 s, over by then).

Also: histogram guavagap_request_seconds by outcome; outcomes.py and requests.py out of attempts.py.

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -7,23 +7,22 @@
 
 import time
 from collections import Counter
-from typing import Callable, NamedTuple
+from typing import Callable
 
-from guavagap.caller_connections import CallerDownstream
 from guavagap.dialect import Dialect
 from guavagap.directory import Target
 from guavagap.errors import ErrorKind, GuavagapError, answer_for
-from guavagap.evidence import EvidenceKey
 from guavagap.exchange import (
     AnswerHead,
     Attempt,
-    ForwardedRequest,
     limit_to_deadline,
     relay_exchange,
 )
 from guavagap.forwarding import StreamExchange
 from guavagap.logs import get_logger
+from guavagap.outcomes import FAILURE_STATUS, OutcomeLearner
 from guavagap.poison import fingerprint_of
+from guavagap.requests import Exchange
 from guavagap.retries import (
     MAX_PLACEMENTS,
     Failure,
@@ -31,14 +30,11 @@
     is_arrival,
     may_retry,
 )
-from guavagap.snapshot import CompiledRoute, RouteShare
 
-__all__ = ["AttemptRunner", "Exchange"]
+__all__ = ["AttemptRunner"]
 
 log = get_logger()
 
-STRIKE_GOSSIP_TARGETS = 6
-FAILURE_STATUS = 500
 # How many nodes are asked for a short wait before the request waits longer.
 MAX_PROBES = 2
 # How long a request may wait for a slot: a share of its target latency at first,
@@ -47,43 +43,9 @@
 FIRST_WAIT_SHARE_OF_TARGET = 0.4
 LAST_WAIT_SHARE_OF_TIME_LEFT = 0.5
 MIN_WAIT_S = 0.001
-MAX_ROUTES_REMEMBERED = 5000
-# A mean over some ten answers.
-MEMORY_SHARE = 0.1
 # Below this share of its target latency another attempt comes to nothing.
 RETRY_TIME_SHARE_OF_TARGET = 0.3
 
-_CRASH_KINDS = (ErrorKind.BACKEND_SERVER_LOST, ErrorKind.BODY_CUT_SHORT)
-_UNREACHABLE_KINDS = (ErrorKind.CONNECT_FAILED, ErrorKind.LINK_UNREACHABLE)
-_FAILURE_KINDS = _CRASH_KINDS + (
-    ErrorKind.BACKEND_SERVER_FAILED,
-    ErrorKind.BACKEND_SERVER_PROTOCOL,
-    ErrorKind.DEADLINE_AFTER_SEND,
-    ErrorKind.LINK_LOST,
-)
-
-
-class Exchange(NamedTuple):
-    """A request on its way: what was asked and how it is to be treated.
-
-    Attributes:
-        share: the service that it goes to, of those of its route.
-        version: the backend server version chosen first.
-        is_marked: whether a layer above is already retrying.
-        started_s: monotonic time at which the request was read.
-    """
-
-    request_id: bytes
-    route: CompiledRoute
-    share: RouteShare
-    version: str
-    request: ForwardedRequest
-    downstream: CallerDownstream
-    is_marked: bool
-    fingerprint: bytes
-    idempotency_key: bytes
-    started_s: float
-
 
 class _Progress:
     """What the attempts of one request have met so far."""
@@ -121,7 +83,7 @@
         self._dialect = dialect
         self._counts = counts
         self._budgets: dict[tuple[str, str, float], RetryBudget] = {}
-        self._answer_bytes: dict[str, float] = {}
+        self.outcomes = OutcomeLearner(node, dialect, counts)
 
     async def run(self, exchange: Exchange) -> None:
         """Make attempts until one succeeds or none is allowed any more.
@@ -217,7 +179,7 @@
             exchange.version,
             progress.failed,
             progress.busy,
-            self._answer_bytes.get(exchange.route.name, 0.0),
+            self.outcomes.usual_answer_bytes(exchange.route),
         )
         if target is not None:
             return target
@@ -345,13 +307,13 @@
             async with limit_to_deadline(exchange.request.deadline_s, attempt):
                 answer = await self._send(exchange, target, attempt, judge)
         except GuavagapError as error:
-            self._learn_failure(exchange, target, error, started_s)
-            if error.kind in _CRASH_KINDS:
-                await self._note_crash(exchange, target)
+            self.outcomes.note_failure(exchange, target, error, started_s)
+            if self.outcomes.is_crash(error):
+                await self.outcomes.note_crash(exchange, target)
             raise
         finally:
             health.in_flight -= 1
-        self._learn_answer(exchange, target, answer, started_s)
+        self.outcomes.note_answer(exchange, target, answer, started_s)
 
     async def _send(
         self, exchange: Exchange, target: Target, attempt: Attempt, judge
@@ -375,69 +337,3 @@
         upstream = StreamExchange(stream, target.server.server_id, target.health)
         attempt.upstream = upstream
         return await relay_exchange(request, downstream, upstream, judge)
-
-    def _learn_answer(
-        self, exchange: Exchange, target: Target, answer: AnswerHead, started_s: float
-    ) -> None:
-        now_s = time.monotonic()
-        is_failure = answer.status >= FAILURE_STATUS
-        self._counts["answers"] += 1
-        if answer.condition is not None:
-            target.health.note_condition(answer.condition, now_s)
-        else:
-            load = self._dialect.read_load(answer.headers)
-            if load is not None:
-                target.health.note_load(load, now_s)
-        if is_failure:
-            target.health.note_failure(now_s, is_unreachable=False)
-        else:
-            target.health.note_success()
-        if answer.is_complete:
-            self._note_size(exchange.route.name, sum(map(len, answer.chunks)))
-        if exchange.fingerprint:
-            self._node.poison.note_success(exchange.fingerprint)
-        self._record(exchange, target, is_failure, now_s - started_s)
-
-    def _note_size(self, route_name: str, size_bytes: int) -> None:
-        """Keep a running mean of the size of a route's answers."""
-        mean = self._answer_bytes.get(route_name, size_bytes)
-        if len(self._answer_bytes) > MAX_ROUTES_REMEMBERED:
-            self._answer_bytes.clear()
-        self._answer_bytes[route_name] = mean + MEMORY_SHARE * (size_bytes - mean)
-
-    def _learn_failure(
-        self,
-        exchange: Exchange,
-        target: Target,
-        error: GuavagapError,
-        started_s: float,
-    ) -> None:
-        now_s = time.monotonic()
-        front = self._node.fronts.get(target.server.server_id)
-        if front is not None:
-            target.health.note_condition(front.condition(), now_s)
-        if error.kind in _UNREACHABLE_KINDS:
-            took_s = now_s - started_s
-            target.health.note_failure(now_s, is_unreachable=True, took_s=took_s)
-            return
-        if error.kind not in _FAILURE_KINDS:
-            return
-        target.health.note_failure(now_s, is_unreachable=False)
-        self._record(exchange, target, True, now_s - started_s)
-
-    async def _note_crash(self, exchange: Exchange, target: Target) -> None:
-        """Count a strike and tell others before the caller can send it again."""
-        request = exchange.request
-        fingerprint = exchange.fingerprint or fingerprint_of(
-            request.method, request.target, exchange.downstream.chunks
-        )
-        if self._node.poison.note_crash(fingerprint, target.server.server_id):
-            log.warning("request quarantined", fingerprint=fingerprint.hex())
-        await self._node.membership.gossip_now(STRIKE_GOSSIP_TARGETS)
-
-    def _record(
-        self, exchange: Exchange, target: Target, is_failure: bool, latency_s: float
-    ) -> None:
-        route, server = exchange.route, target.server
-        key = EvidenceKey(server.service, server.version, route.name, server.server_id)
-        self._node.evidence.record(key, is_failure, latency_s)
--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -61,6 +61,10 @@
             self.open_count -= 1
             raise
 
+    def keep(self, connection: Http1Connection) -> None:
+        """Keep a connection that has carried no request yet."""
+        self._idle.append(connection)
+
     async def give_back(self, connection: Http1Connection, is_wanted: bool) -> None:
         """Keep a connection whose exchange is complete, or close it.
 
--- a/guavagap/backend_front.py
+++ b/guavagap/backend_front.py
@@ -25,11 +25,10 @@
 MEMORY_SHARE = 0.1
 MAX_PERMILLE = 60_000
 # A refusal counts too: admission had found a free slot.
-_FAILURE_KINDS = (
+_LOST_KINDS = (ErrorKind.BACKEND_SERVER_LOST, ErrorKind.BODY_CUT_SHORT)
+_FAILURE_KINDS = _LOST_KINDS + (
     ErrorKind.REFUSED_BY_BACKEND_SERVER,
-    ErrorKind.BACKEND_SERVER_LOST,
     ErrorKind.BACKEND_SERVER_PROTOCOL,
-    ErrorKind.BODY_CUT_SHORT,
 )
 
 
@@ -144,8 +143,21 @@
         except GuavagapError as error:
             if not answered_s and error.kind in _FAILURE_KINDS:
                 self._learn(request, True, time.monotonic() - started_s)
+            if error.kind in _LOST_KINDS and not await self._is_listening():
+                raise GuavagapError(
+                    ErrorKind.BACKEND_SERVER_CRASHED, error.detail
+                ) from None
             raise
 
+    async def _is_listening(self) -> bool:
+        """Return whether the backend server is still there; keep the connection."""
+        try:
+            connection = await self.connections.connect()
+        except GuavagapError:
+            return False
+        self.connections.keep(connection)
+        return True
+
 
 def _always() -> bool:
     return True
--- a/guavagap/errors.py
+++ b/guavagap/errors.py
@@ -44,6 +44,7 @@
     DEADLINE_BEFORE_RUN = "deadline_before_run"
     DEADLINE_AFTER_SEND = "deadline_after_send"
     BACKEND_SERVER_LOST = "backend_server_lost"
+    BACKEND_SERVER_CRASHED = "backend_server_crashed"
     BACKEND_SERVER_PROTOCOL = "backend_server_protocol"
     BACKEND_SERVER_FAILED = "backend_server_failed"
     BODY_CUT_SHORT = "body_cut_short"
@@ -108,6 +109,7 @@
     ErrorKind.DEADLINE_BEFORE_RUN: Answer(504, _NOT_RUN, "info", EXIT_REFUSED),
     ErrorKind.DEADLINE_AFTER_SEND: Answer(504, _UNKNOWN, "info", EXIT_REFUSED),
     ErrorKind.BACKEND_SERVER_LOST: Answer(502, _UNKNOWN, "warning", EXIT_REFUSED),
+    ErrorKind.BACKEND_SERVER_CRASHED: Answer(502, _UNKNOWN, "warning", EXIT_REFUSED),
     ErrorKind.BACKEND_SERVER_PROTOCOL: Answer(502, _UNKNOWN, "warning", EXIT_REFUSED),
     ErrorKind.BACKEND_SERVER_FAILED: Answer(502, _UNKNOWN, "info", EXIT_REFUSED),
     ErrorKind.BODY_CUT_SHORT: Answer(502, _UNKNOWN, "warning", EXIT_REFUSED),
--- a/guavagap/metrics.py
+++ b/guavagap/metrics.py
@@ -20,6 +20,7 @@
         self._registry = Registry()
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
+        self._registry.register(node.proxy.latency_s)
 
     def render(self) -> tuple[bytes, str]:
         """Return the text and its content type."""
--- /dev/null
+++ b/guavagap/outcomes.py
@@ -0,0 +1,129 @@
+"""What a node learns from the outcomes of its attempts."""
+
+import time
+from collections import Counter
+
+from guavagap.dialect import Dialect
+from guavagap.directory import Target
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.evidence import EvidenceKey
+from guavagap.exchange import AnswerHead
+from guavagap.logs import get_logger
+from guavagap.poison import fingerprint_of
+from guavagap.requests import Exchange
+from guavagap.snapshot import CompiledRoute
+
+__all__ = ["FAILURE_STATUS", "OutcomeLearner"]
+
+log = get_logger()
+
+STRIKE_GOSSIP_TARGETS = 6
+FAILURE_STATUS = 500
+MAX_ROUTES_REMEMBERED = 5000
+# A mean over some ten answers.
+MEMORY_SHARE = 0.1
+
+# A lost answer may mean a crash where nobody on the backend server's VM can tell.
+_LOST_KINDS = (ErrorKind.BACKEND_SERVER_LOST, ErrorKind.BODY_CUT_SHORT)
+_UNREACHABLE_KINDS = (ErrorKind.CONNECT_FAILED, ErrorKind.LINK_UNREACHABLE)
+_FAILURE_KINDS = _LOST_KINDS + (
+    ErrorKind.BACKEND_SERVER_CRASHED,
+    ErrorKind.BACKEND_SERVER_FAILED,
+    ErrorKind.BACKEND_SERVER_PROTOCOL,
+    ErrorKind.DEADLINE_AFTER_SEND,
+    ErrorKind.LINK_LOST,
+)
+
+
+class OutcomeLearner:
+    """Keeps health, evidence, strikes and sizes up to date.
+
+    Args:
+        node: the node's parts; see :class:`guavagap.node.Node`.
+        dialect: headers of backend servers.
+        counts: counts by path and kind of error.
+    """
+
+    def __init__(self, node, dialect: Dialect, counts: Counter[str]):
+        self._node = node
+        self._dialect = dialect
+        self._counts = counts
+        self._answer_bytes: dict[str, float] = {}
+
+    def usual_answer_bytes(self, route: CompiledRoute) -> float:
+        """Return the mean size of a route's answers, 0 before the first."""
+        return self._answer_bytes.get(route.name, 0.0)
+
+    def note_answer(
+        self, exchange: Exchange, target: Target, answer: AnswerHead, started_s: float
+    ) -> None:
+        """Take an answer of a backend server."""
+        now_s = time.monotonic()
+        is_failure = answer.status >= FAILURE_STATUS
+        self._counts["answers"] += 1
+        if answer.condition is not None:
+            target.health.note_condition(answer.condition, now_s)
+        else:
+            load = self._dialect.read_load(answer.headers)
+            if load is not None:
+                target.health.note_load(load, now_s)
+        if is_failure:
+            target.health.note_failure(now_s, is_unreachable=False)
+        else:
+            target.health.note_success()
+        if answer.is_complete:
+            self._note_size(exchange.route.name, sum(map(len, answer.chunks)))
+        if exchange.fingerprint:
+            self._node.poison.note_success(exchange.fingerprint)
+        self._record(exchange, target, is_failure, now_s - started_s)
+
+    def _note_size(self, route_name: str, size_bytes: int) -> None:
+        """Keep a running mean of the size of a route's answers."""
+        mean = self._answer_bytes.get(route_name, size_bytes)
+        if len(self._answer_bytes) > MAX_ROUTES_REMEMBERED:
+            self._answer_bytes.clear()
+        self._answer_bytes[route_name] = mean + MEMORY_SHARE * (size_bytes - mean)
+
+    def note_failure(
+        self,
+        exchange: Exchange,
+        target: Target,
+        error: GuavagapError,
+        started_s: float,
+    ) -> None:
+        """Take a failed attempt."""
+        now_s = time.monotonic()
+        front = self._node.fronts.get(target.server.server_id)
+        if front is not None:
+            target.health.note_condition(front.condition(), now_s)
+        if error.kind in _UNREACHABLE_KINDS:
+            took_s = now_s - started_s
+            target.health.note_failure(now_s, is_unreachable=True, took_s=took_s)
+            return
+        if error.kind not in _FAILURE_KINDS:
+            return
+        target.health.note_failure(now_s, is_unreachable=False)
+        self._record(exchange, target, True, now_s - started_s)
+
+    def is_crash(self, error: GuavagapError) -> bool:
+        """Return whether a failure is held to be a crash of the backend server."""
+        if error.kind is ErrorKind.BACKEND_SERVER_CRASHED:
+            return True
+        return error.kind in _LOST_KINDS and not self._node.is_forwarding_only
+
+    async def note_crash(self, exchange: Exchange, target: Target) -> None:
+        """Count a strike and tell others before the caller can send it again."""
+        request = exchange.request
+        fingerprint = exchange.fingerprint or fingerprint_of(
+            request.method, request.target, exchange.downstream.chunks
+        )
+        if self._node.poison.note_crash(fingerprint, target.server.server_id):
+            log.warning("request quarantined", fingerprint=fingerprint.hex())
+        await self._node.membership.gossip_now(STRIKE_GOSSIP_TARGETS)
+
+    def _record(
+        self, exchange: Exchange, target: Target, is_failure: bool, latency_s: float
+    ) -> None:
+        route, server = exchange.route, target.server
+        key = EvidenceKey(server.service, server.version, route.name, server.server_id)
+        self._node.evidence.record(key, is_failure, latency_s)
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -8,7 +8,7 @@
 import curio
 import h11
 
-from guavagap.attempts import AttemptRunner, Exchange
+from guavagap.attempts import AttemptRunner
 from guavagap.caller_connections import CallerDownstream
 from guavagap.caller_errors import linger, send_error
 from guavagap.caller_watch import ConnectionWatch, WatchedConnection
@@ -21,8 +21,10 @@
     header_value,
     read_request_head,
 )
+from guavagap.latency import make_latency_histogram
 from guavagap.logs import get_logger
 from guavagap.poison import fingerprint_of
+from guavagap.requests import Exchange
 from guavagap.snapshot import CompiledRoute, find_route
 
 __all__ = ["Proxy"]
@@ -48,11 +50,13 @@
     Attributes:
         counts: answers by status class, attempts by path, errors by kind.
         in_flight: requests being answered.
+        latency_s: from a request's head to the end of its answer, by outcome.
     """
 
     def __init__(self, node):
         self.counts: Counter[str] = Counter()
         self.in_flight = 0
+        self.latency_s = make_latency_histogram()
         self._node = node
         self._dialect = node.dialect
         self._owned_headers = node.dialect.owned_headers()
@@ -101,9 +105,12 @@
             request_id = self._request_prefix + b"%d" % next(self._request_numbers)
         self.in_flight += 1
         watched.start(is_answering=True)
+        started_s, outcome = time.monotonic(), "failed"
         try:
             await self._answer(connection, head, request_id)
+            outcome = "answered"
         except GuavagapError as error:
+            outcome = error.kind.value
             return await self._answer_error(connection, error, request_id)
         except OSError:
             return False
@@ -113,6 +120,7 @@
             return await self._answer_error(connection, internal, request_id)
         finally:
             self.in_flight -= 1
+            self.latency_s.observe({"outcome": outcome}, time.monotonic() - started_s)
             watched.start(is_answering=False)
         return connection.start_next_cycle()
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -4,11 +4,13 @@
 keeps a ledger of runs by request identifier. ``PUT /_knobs`` (a JSON object) makes
 it misbehave: ``delay_s`` a run, ``fail_share`` answers 500, ``refuse`` answers "not
 run", ``cut_share`` breaks answers off, ``extra_share`` sends a second answer late,
-``state`` is what it reports, ``is_silent`` stops its reports. ``GET /_ledger`` returns
-what was run.
+``lose_share`` closes without an answer, ``state`` is what it reports, ``is_silent``
+stops its reports. ``GET /_ledger`` returns what was run. A request with the header
+``x-crash`` ends the process.
 """
 
 import json
+import os
 import random
 import time
 from collections import Counter
@@ -55,6 +57,7 @@
             "refuse": False,
             "cut_share": 0.0,
             "extra_share": 0.0,
+            "lose_share": 0.0,
             "state": "ready",
             "is_silent": False,
         }
@@ -115,6 +118,10 @@
                     return False
             finally:
                 self.running -= 1
+        if header_value(head.headers, b"x-crash") is not None:
+            os._exit(70)
+        if random.random() < self.knobs["lose_share"]:
+            return False
         extra.append((b"x-server-stamp", f"{self.server_id}.{request_id}".encode()))
         if random.random() < self.knobs["fail_share"]:
             return await _send(connection, 500, extra, b"failed")
--- a/tests/test_operator_mesh.py
+++ b/tests/test_operator_mesh.py
@@ -152,6 +152,37 @@
         self.assertEqual({200: 20}, dict(statuses))
         self.assertLess(refused, 25)
 
+    def test_lost_answers_are_not_taken_for_crashes(self):
+        fleet = self.start()
+        for server_id in fleet.servers:
+            fleet.set_upstream(server_id, lose_share=1.0)
+        for number in range(12):
+            fleet.request(f"{'ab'[number % 2]}1", "/pay/x", f"p{number}", "POST")
+        for server_id in fleet.servers:
+            fleet.set_upstream(server_id, lose_share=0.0)
+        time.sleep(2.5)
+        statuses = Counter(
+            fleet.request("a1", "/pay/x", f"q{number}", "POST").status
+            for number in range(20)
+        )
+        self.assertEqual({200: 20}, dict(statuses))
+
+    def test_request_that_crashes_backend_servers_is_refused_before_the_third(self):
+        fleet = self.start()
+        for number in range(12):
+            node_id = list(LAYOUT)[number % 4]
+            fleet.request(node_id, "/shop/bad", f"c{number}", X_Crash="1")
+            time.sleep(0.2)
+        alive = [s for s in fleet.servers.values() if s.process.poll() is None]
+        self.assertGreaterEqual(len(alive), 2)
+        self.assertEqual(200, fleet.request("a1", "/shop/good", "q").status)
+
+    def test_latency_histogram_is_served(self):
+        fleet = self.start(layout={"a1": "za"})
+        fleet.request("a1", "/shop/x", "q")
+        name = 'guavagap_request_seconds_count{outcome="answered"}'
+        self.assertGreaterEqual(fleet.metrics("a1")[name], 1)
+
     def test_slots_are_never_exceeded_and_overload_is_refused_as_not_run(self):
         fleet = self.start(layout={"a1": "za"}, slots=2)
         fleet.set_upstream("i-a1", delay_s=0.4)
