--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -234,20 +234,42 @@
             progress.held = error.answer
         failure = self._failure(exchange, error, attempt, progress)
         is_allowed = may_retry(failure) and (not has_arrived or budget.try_spend())
+        self._log_failed_attempt(exchange, progress, target, error, is_allowed)
         if not is_allowed:
             # A later refusal does not undo an attempt that may have run.
             raise progress.unknown or error
         self._counts["retries"] += 1
+        progress.failed.add(server_id)
+        return self._marked(exchange) if has_arrived else exchange
+
+    def _log_failed_attempt(
+        self,
+        exchange: Exchange,
+        progress: _Progress,
+        target: Target,
+        error: GuavagapError,
+        is_allowed: bool,
+    ) -> None:
+        """Log what was known of the target, how old that is, and what follows."""
+        now_s, health = time.monotonic(), target.health
+        is_reported = health.reported_at_s > 0
         log.info(
-            "request tried again",
+            "attempt failed",
             request=exchange.request_id.decode("latin-1"),
+            route=exchange.route.name,
             kind=error.kind.value,
             why=error.detail,
-            server=server_id,
+            server=target.server.server_id,
+            owner=target.node_id,
+            load=health.reported_in_flight if is_reported else None,
+            load_age_ms=_to_ms(now_s - health.reported_at_s) if is_reported else None,
+            slowness=round(health.slowness, 2),
             attempts=progress.attempts,
+            placements=progress.placements,
+            elapsed_ms=_to_ms(now_s - exchange.started_s),
+            left_ms=_to_ms(exchange.request.deadline_s - now_s),
+            outcome="tried again" if is_allowed else "given up",
         )
-        progress.failed.add(server_id)
-        return self._marked(exchange) if has_arrived else exchange
 
     def _failure(
         self,
@@ -337,3 +359,7 @@
         upstream = StreamExchange(stream, target.server.server_id, target.health)
         attempt.upstream = upstream
         return await relay_exchange(request, downstream, upstream, judge)
+
+
+def _to_ms(duration_s: float) -> int:
+    return int(duration_s * 1000)
