--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -147,7 +147,9 @@
                         exchange, progress, target, error, attempt, budget
                     )
             except GuavagapError as error:
-                if progress.held is None or error.kind is ErrorKind.CALLER_GONE:
+                is_started = exchange.downstream.is_answer_started
+                is_gone = error.kind is ErrorKind.CALLER_GONE
+                if progress.held is None or is_started or is_gone:
                     raise
                 # The failure that a backend server gave says most.
                 await exchange.downstream.send_answer(progress.held)
--- a/guavagap/evaluator.py
+++ b/guavagap/evaluator.py
@@ -3,9 +3,9 @@
 Each node sends its evidence to the collector of its failure domain. A collector
 sums it, judges it on its own, and passes it to the evaluator of the service. A
 collector or evaluator that finds a version bad spreads a notice, which needs
-neither agreement nor the platform. Weights grow, and verdicts are kept, by
-compare-and-swap of the head. Both roles follow from the member table, so a
-second holder of one is harmless.
+neither agreement nor the platform. Weights grow, and verdicts are kept, through a
+:class:`guavagap.rollout_books.RolloutBook`, by conditional writes. Both roles follow
+from the member table, so a second holder of one is harmless.
 """
 
 import time
--- a/guavagap/routing.py
+++ b/guavagap/routing.py
@@ -1,8 +1,9 @@
 """Choice of the backend server for a request.
 
-The version is chosen first, by the rollout's weight. Among the version's
-targets the nearest ones that are not saturated are considered, and the less
-loaded of two random ones is taken.
+The service is chosen first, by the route's weights, then the version, by the
+rollout's. Among the version's targets, :class:`Router` considers the nearest ones
+that are not saturated and takes the less loaded of two random ones;
+:class:`ForwardingRouter` takes the one that is expected to answer first.
 """
 
 import hashlib
