A backend server that said it leaves stays leaving, also before it was known

Ruled out: gossip (requests came through the acknowledging node itself), late reports of an earlier start (refused by their order).

Change: a leave is remembered by identifier; reports of a start that is older than it are draining.

--- a/guavagap/announcements.py
+++ b/guavagap/announcements.py
@@ -5,6 +5,8 @@
 """
 
 import json
+import time
+from collections import OrderedDict
 from typing import Annotated, NamedTuple
 
 from expression import Error, Ok, Result
@@ -26,6 +28,11 @@
 DEFAULT_POOL = "main"
 DEFAULT_TTL_S = 15.0
 DRAINED_RETENTION_S = 60.0
+MAX_LEAVES_REMEMBERED = 200
+
+
+def _wall_clock_ms() -> int:
+    return time.time_ns() // 1_000_000
 
 
 class Announcement(TypedDict):
@@ -93,10 +100,13 @@
 
     Args:
         clock: monotonic seconds.
+        wall_clock_ms: Unix milliseconds.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, wall_clock_ms=_wall_clock_ms):
         self._clock = clock
+        self._wall_clock_ms = wall_clock_ms
+        self._left_at_ms: OrderedDict[str, int] = OrderedDict()
         self._servers: dict[str, BackendServer] = {}
         self._expires_at: dict[str, float] = {}
         self._reports: dict[str, ServerReport] = {}
@@ -118,6 +128,7 @@
             if not is_same:
                 self._forget(held.server_id)
         self._reports[report.server_id] = report
+        is_draining = self._is_leaving(report)
         self._servers[report.server_id] = BackendServer(
             report.server_id,
             report.service,
@@ -126,12 +137,34 @@
             report.address,
             report.slots,
             report.slots,
-            report.is_draining,
+            is_draining,
         )
-        retention_s = DRAINED_RETENTION_S if report.is_draining else ttl_s
+        retention_s = DRAINED_RETENTION_S if is_draining else ttl_s
         self._expires_at[report.server_id] = self._clock() + retention_s
         return True
 
+    def _is_leaving(self, report: ServerReport) -> bool:
+        """Return whether this start of a backend server has said that it leaves.
+
+        That word stands, whatever later reports of the same start say, and also
+        when it came before this process knew the backend server.
+        """
+        if report.is_draining:
+            self._note_leave(report.server_id)
+            return True
+        left_at_ms = self._left_at_ms.get(report.server_id)
+        if left_at_ms is None:
+            return False
+        if report.born_ms > left_at_ms:
+            del self._left_at_ms[report.server_id]
+            return False
+        return True
+
+    def _note_leave(self, server_id: str) -> None:
+        self._left_at_ms[server_id] = self._wall_clock_ms()
+        if len(self._left_at_ms) > MAX_LEAVES_REMEMBERED:
+            self._left_at_ms.popitem(last=False)
+
     def _forget(self, server_id: str) -> None:
         self._servers.pop(server_id, None)
         self._expires_at.pop(server_id, None)
@@ -155,6 +188,7 @@
 
     def leave(self, server_id: str) -> bool:
         """Mark a backend server as draining; return False when it is unknown."""
+        self._note_leave(server_id)
         server = self._servers.get(server_id)
         if server is None:
             return False
