Let the operator's priority go before the length of the work in the queue

The added routes have priority 0 and a target latency of 1 s; with a quarter of the target a step of priority they were due after every request of priority 2 with 0.5 s, so under overload they met a full queue or were sent away for one that was due sooner.

Ruled out: an old configuration (the nodes had the routes and chose their backend servers).

Change: a whole target latency a step. A test with both kinds failed before.

--- a/guavagap/limits.py
+++ b/guavagap/limits.py
@@ -21,8 +21,9 @@
 LAPSE_HOLD_S = 10.0
 # The mean time of a run looks back over some ten runs.
 MEMORY_SHARE = 0.1
-# Each step of priority lets a request wait for a quarter of its target longer.
-PRIORITY_WEIGHT = 0.25
+# Each step of priority lets a request wait for its whole target latency longer, so
+# that the operator's order goes before the length of the work.
+PRIORITY_WEIGHT = 1.0
 
 
 def direct_connection_limit(connections: int, slots: int) -> int:
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,58 @@
+"""Tests of the admission of one backend server."""
+
+import curio
+
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.limits import Admission
+from tests.cases import AsyncTestCase
+
+
+class AdmissionTests(AsyncTestCase):
+    async def order_of(self, requests) -> list[str]:
+        """Return the order in which waiting requests get the only slot.
+
+        Args:
+            requests: name, priority and target latency, in the order of arrival.
+        """
+        admission = Admission(1)
+        served: list[str] = []
+
+        async def run(name, priority, target_latency_s):
+            async with admission.admit(priority, None, target_latency_s):
+                served.append(name)
+
+        async with curio.TaskGroup() as group:
+            async with admission.admit():
+                for request in requests:
+                    await group.spawn(run, *request)
+                    await curio.sleep(0)
+                await curio.sleep(0.01)
+        return served
+
+    def test_most_urgent_priority_goes_before_a_shorter_target(self):
+        async def case():
+            requests = [("status", 2, 0.5), ("added", 0, 1.0)]
+            self.assertEqual(["added", "status"], await self.order_of(requests))
+
+        self.run_async(case)
+
+    def test_short_calls_go_before_long_ones_of_their_priority(self):
+        async def case():
+            requests = [("browse", 2, 0.6), ("inner", 2, 0.15)]
+            self.assertEqual(["inner", "browse"], await self.order_of(requests))
+
+        self.run_async(case)
+
+    def test_wait_that_would_be_too_long_is_refused_at_once(self):
+        async def case():
+            admission = Admission(1)
+            async with admission.admit():
+                await curio.sleep(0.05)
+            async with admission.admit():
+                try:
+                    async with admission.admit(1, 0.01):
+                        self.fail("admitted beside another request")
+                except GuavagapError as error:
+                    self.assertEqual(ErrorKind.SLOTS_TAKEN, error.kind)
+
+        self.run_async(case)
