--- a/tests/cases.py
+++ b/tests/cases.py
@@ -6,6 +6,7 @@
 import curio
 import testtools
 
+from guavagap.errors import GuavagapError
 from standins.fleet import open_fleet
 
 __all__ = ["AsyncTestCase", "FleetTestCase"]
@@ -25,6 +26,15 @@
 
         return curio.run(limited)
 
+    async def assert_kind(self, kind, awaitable):
+        """Await something that must fail with a kind of error."""
+        try:
+            await awaitable
+        except GuavagapError as error:
+            self.assertEqual(kind, error.kind)
+        else:
+            self.fail(f"{kind} was not raised")
+
 
 class FleetTestCase(testtools.TestCase):
     """Starts real processes, ended with the test."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,7 +3,7 @@
 import curio
 
 from guavagap.addresses import Address
-from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.errors import ErrorKind
 from guavagap.metadata_store import Write
 from guavagap.platform.store import open_store_client
 from standins.fleet import free_ports
@@ -21,14 +21,6 @@
             async with open_store_client(address, 1.0) as client:
                 await function(server, client)
 
-    async def assert_kind(self, kind, awaitable):
-        try:
-            await awaitable
-        except GuavagapError as error:
-            self.assertEqual(kind, error.kind)
-        else:
-            self.fail(f"{kind} was not raised")
-
     def test_list_reads_every_page(self):
         async def case(server, client):
             count = PAGE_ITEMS + 20
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -5,7 +5,7 @@
 import curio
 
 from guavagap.addresses import Address
-from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.errors import ErrorKind
 from guavagap.key_value import ABSENT, MAX_VALUE_BYTES, MemoryKeyValueStore, MemoryStore
 from guavagap.platform.store import open_key_value_store
 from standins.fleet import free_ports
@@ -19,14 +19,6 @@
     def check(self, function):
         self.run_async(self.with_platform, function)
 
-    async def assert_kind(self, kind, awaitable):
-        try:
-            await awaitable
-        except GuavagapError as error:
-            self.assertEqual(kind, error.kind)
-        else:
-            self.fail(f"{kind} was not raised")
-
     def test_missing_key(self):
         async def case(platform):
             self.assertIsNone(await platform.get("a"))
