Begin a rollout only where another version is known

The log shows the rollout begun with an empty old version by a node that had just been started beside the new version and knew nobody else, so it held itself for the evaluator; without an old version nothing could be compared until 23.5 s.

Ruled out: the store's refusals to four nodes (others wrote each decision in time).

Change: the order waits until another version is known. The test failed before.

--- a/guavagap/rollout_books.py
+++ b/guavagap/rollout_books.py
@@ -147,8 +147,14 @@
         state = self._node.configuration.snapshot.services.get(service)
         if state is None:
             return
+        from_version = self._node.router.prevailing_version(state)
+        if not from_version:
+            # A node that has just started knows few others yet; evidence needs the
+            # version to compare with.
+            log.debug("rollout not begun", service=service, why="no other version")
+            return
         rollout: Rollout = {
-            "from_version": self._node.router.prevailing_version(state),
+            "from_version": from_version,
             "to_version": order.to_version,
             "state": "running",
             "weight_permille": 0,
--- /dev/null
+++ b/tests/test_rollout_books.py
@@ -0,0 +1,42 @@
+"""Tests of rollouts that an operator orders."""
+
+from types import SimpleNamespace
+
+from guavagap.declarations import RolloutOrder
+from guavagap.metadata_store import TransactionOutcome
+from guavagap.rollout_books import RecordRolloutBook
+from tests.cases import AsyncTestCase
+
+
+class StartTests(AsyncTestCase):
+    def start(self, prevailing_version: str) -> list:
+        """Return what is written when a pending order is to be begun."""
+        written = []
+
+        async def transact(expected, writes):
+            written.extend(writes)
+            return TransactionOutcome(2, [])
+
+        configuration = SimpleNamespace(
+            orders={"shop": (1, RolloutOrder("shop", "v2", 14.0))},
+            records={},
+            snapshot=SimpleNamespace(services={"shop": None}),
+            revision_of=lambda key: 0,
+        )
+        configuration.snapshot.services["shop"] = SimpleNamespace()
+        router = SimpleNamespace(prevailing_version=lambda state: prevailing_version)
+        node = SimpleNamespace(configuration=configuration, router=router)
+        book = RecordRolloutBook(
+            node,
+            SimpleNamespace(transact=transact),
+            lambda service, rollout: ("status", b""),
+        )
+        self.run_async(book.start_pending, lambda service: True)
+        return written
+
+    def test_order_is_begun_by_a_record_and_the_operators_state(self):
+        keys = [write.key for write in self.start("v1")]
+        self.assertEqual(["mesh/rollout/shop", "status"], keys)
+
+    def test_node_that_knows_no_other_version_waits(self):
+        self.assertEqual([], self.start(""))
