Lose the head's answer only, as the test of a lost answer means

Cause: the stand-in lost the first write of the commit, an audit record, whose lost answer ends apply with code 3 (listed).

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -34,6 +34,7 @@
 
 PAGE_ITEMS = 500
 FORBIDDEN_PREFIXES = ("op/", "servers/")
+PREPARING_PREFIXES = ("doc/", "audit/")
 _JSON = [(b"content-type", b"application/json")]
 
 
@@ -196,11 +197,12 @@
 
 
 def _is_deciding(name: str, body: dict) -> bool:
-    """Return whether a write is neither of a lease nor of a document's body."""
+    """Return whether a write is neither of a lease nor prepares a commit."""
     if name != "kv-txn":
         return False
     return not any(
-        row.get("lease") or row["key"].startswith("doc/") for row in body["puts"]
+        row.get("lease") or row["key"].startswith(PREPARING_PREFIXES)
+        for row in body["puts"]
     )
 
 
