--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -34,7 +34,6 @@
 
 PAGE_ITEMS = 500
 FORBIDDEN_PREFIXES = ("op/", "servers/")
-PREPARING_PREFIXES = ("doc/", "audit/")
 _JSON = [(b"content-type", b"application/json")]
 
 
@@ -108,7 +107,7 @@
             return await self._watch(query)
         body = json.loads(request.body) if request.body else {}
         response = await self._write(name, url.path.rpartition("/")[2], body)
-        if self.knobs["lose_write_answers"] > 0 and _is_deciding(name, body):
+        if self.knobs["lose_write_answers"] > 0:
             self.knobs["lose_write_answers"] -= 1
             raise ConnectionDropped("answer lost")
         return response
@@ -196,16 +195,6 @@
         return _answer(412, {"items": rows})
 
 
-def _is_deciding(name: str, body: dict) -> bool:
-    """Return whether a write is neither of a lease nor prepares a commit."""
-    if name != "kv-txn":
-        return False
-    return not any(
-        row.get("lease") or row["key"].startswith(PREPARING_PREFIXES)
-        for row in body["puts"]
-    )
-
-
 def _answer(status: int, value: dict) -> HttpResponse:
     return HttpResponse(status, _JSON, json.dumps(value).encode())
 
