Take a lost connection for a crash when the listener closes a moment later

Cause: after a lost answer the owner asks by a new connection whether the backend server still listens. Ruled out: the fingerprint and the gossip of strikes (both right whenever the crash was seen). Change: the new connection must stay open for 30 ms. A command's warnings go to standard error.

--- a/guavagap/backend_front.py
+++ b/guavagap/backend_front.py
@@ -3,6 +3,8 @@
 import time
 from typing import Callable
 
+import curio
+
 from guavagap.addresses import parse_address
 from guavagap.backend_connections import BackendConnectionPool, BackendExchange
 from guavagap.dialect import NATIVE_DIALECT, Dialect
@@ -24,6 +26,8 @@
 # The means look back over some ten requests: half a second of a busy server.
 MEMORY_SHARE = 0.1
 MAX_PERMILLE = 60_000
+# Sockets of a process that ends close within a few milliseconds of each other.
+PROCESS_END_S = 0.03
 # A refusal counts too: admission had found a free slot.
 _LOST_KINDS = (ErrorKind.BACKEND_SERVER_LOST, ErrorKind.BODY_CUT_SHORT)
 _FAILURE_KINDS = _LOST_KINDS + (
@@ -150,11 +154,19 @@
             raise
 
     async def _is_listening(self) -> bool:
-        """Return whether the backend server is still there; keep the connection."""
+        """Return whether the backend server is still there; keep the connection.
+
+        The sockets of a process that ends close one after the other, so its
+        listener can take a connection for a moment more.
+        """
         try:
             connection = await self.connections.connect()
         except GuavagapError:
             return False
+        await curio.sleep(PROCESS_END_S)
+        if connection.is_closed_by_peer():
+            await self.connections.discard(connection)
+            return False
         self.connections.keep(connection)
         return True
 
--- a/guavagap/cli.py
+++ b/guavagap/cli.py
@@ -22,6 +22,7 @@
     GuavagapError,
     answer_for,
 )
+from guavagap.logs import configure_command_logs
 from guavagap.platform.store import open_key_value_store
 from guavagap.settings import parse_platform_url
 
@@ -81,6 +82,7 @@
 @click.pass_context
 def main(context, platform_url, admin_address, output):
     """Edit and read the configuration of the service mesh."""
+    configure_command_logs()
     context.obj = _Context(
         _parse_option(parse_platform_url, platform_url, "http://IP:PORT"),
         _parse_option(parse_address, admin_address, "IP:PORT"),
--- a/guavagap/commits.py
+++ b/guavagap/commits.py
@@ -33,6 +33,7 @@
     encode_head,
 )
 from guavagap.key_value import ABSENT, KeyValueStore
+from guavagap.logs import get_logger
 
 __all__ = [
     "Commit",
@@ -49,6 +50,8 @@
     "swap_head",
 ]
 
+log = get_logger()
+
 HEAD_KEY = "head"
 MAX_SWAP_ATTEMPTS = 40
 FIRST_BACKOFF_S = 0.01
@@ -150,16 +153,35 @@
     }
 
 
+async def _create(platform: KeyValueStore, key: str, body: bytes) -> None:
+    """Write a key that never changes, unless it is there already.
+
+    A write without an answer is repeated once: it then finds its own value or
+    creates it. A platform that is away fails the second time too.
+    """
+    try:
+        await _create_once(platform, key, body)
+    except GuavagapError as error:
+        if error.kind is not ErrorKind.PLATFORM_UNREACHABLE:
+            raise
+        log.info("write repeated", key=key, why=error.detail)
+        await _create_once(platform, key, body)
+
+
+async def _create_once(platform: KeyValueStore, key: str, body: bytes) -> None:
+    try:
+        await platform.put(key, body, ABSENT)
+    except GuavagapError as error:
+        if error.kind is not ErrorKind.CONFLICT:
+            raise
+
+
 async def _write_audit(platform: KeyValueStore, change: Change | None) -> None:
     """Write an audit record unless it is there already."""
     if change is None:
         return
     body = json.dumps(change, sort_keys=True).encode()
-    try:
-        await platform.put(audit_key(change["epoch"]), body, ABSENT)
-    except GuavagapError as error:
-        if error.kind is not ErrorKind.CONFLICT:
-            raise
+    await _create(platform, audit_key(change["epoch"]), body)
 
 
 async def read_audit(platform: KeyValueStore, epoch: int) -> Change | None:
@@ -254,9 +276,9 @@
 ) -> Commit:
     try:
         await _write_audit(platform, change)
-    except GuavagapError:
+    except GuavagapError as error:
         # The next commit writes this record from the head before its own swap.
-        pass
+        log.warning("audit record left to the next commit", why=error.detail)
     return Commit(change["epoch"], change["versions"], attempts)
 
 
@@ -335,11 +357,7 @@
 ) -> None:
     for service, document in documents.items():
         body = encode_document(document)
-        try:
-            await platform.put(body_key(service, digest_of(body)), body, ABSENT)
-        except GuavagapError as error:
-            if error.kind is not ErrorKind.CONFLICT:
-                raise
+        await _create(platform, body_key(service, digest_of(body)), body)
 
 
 async def delete_service(
--- a/guavagap/logs.py
+++ b/guavagap/logs.py
@@ -12,7 +12,13 @@
 
 import structlog
 
-__all__ = ["LOG_LEVELS", "BoundedWriter", "configure_logs", "get_logger"]
+__all__ = [
+    "LOG_LEVELS",
+    "BoundedWriter",
+    "configure_command_logs",
+    "configure_logs",
+    "get_logger",
+]
 
 LOG_LEVELS = ("debug", "info", "warning", "error")
 # About ten lines a second tell what happens to failed requests on a busy node; ten
@@ -99,6 +105,18 @@
         node_id: bound to every line.
     """
     writer = BoundedWriter(sys.stdout.fileno())
+    _configure(level, lambda *_: writer)
+    structlog.contextvars.bind_contextvars(node=node_id)
+    # curio warns of each timeout that comes a moment late, which is harmless here.
+    logging.getLogger("curio").setLevel(logging.ERROR)
+
+
+def configure_command_logs() -> None:
+    """Send what a command has to warn of to standard error, apart from its output."""
+    _configure("warning", structlog.PrintLoggerFactory(sys.stderr))
+
+
+def _configure(level: str, logger_factory) -> None:
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -114,12 +132,9 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
-        logger_factory=lambda *_: writer,
+        logger_factory=logger_factory,
         cache_logger_on_first_use=True,
     )
-    structlog.contextvars.bind_contextvars(node=node_id)
-    # curio warns of each timeout that comes a moment late, which is harmless here.
-    logging.getLogger("curio").setLevel(logging.ERROR)
 
 
 def get_logger():
--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -26,6 +26,7 @@
     def __init__(self, store):
         super().__init__(store)
         self.lose_head_answers = 0
+        self.lose_answers_of: str | None = None
         self.after_lost_answer = None
 
     async def get(self, key):
@@ -36,6 +37,9 @@
     async def put(self, key, body, expected, ttl_s=None):
         await curio.sleep(0)
         revision = await super().put(key, body, expected, ttl_s)
+        if self.lose_answers_of and key.startswith(self.lose_answers_of):
+            self.lose_answers_of = None
+            raise GuavagapError(ErrorKind.PLATFORM_UNREACHABLE, "answer lost")
         if key == "head" and self.lose_head_answers:
             self.lose_head_answers -= 1
             if self.after_lost_answer is not None:
@@ -158,6 +162,19 @@
 
         self.check(case)
 
+    def test_lost_answer_of_a_body_or_an_audit_record_is_no_failure(self):
+        async def case(platform):
+            for number, lost in enumerate(("doc/", "audit/")):
+                platform.lose_answers_of = lost
+                document = edited("a", number, 1.0 + number)
+                commit = await apply_documents(platform, [document], "alice", "")
+                self.assertEqual(number + 1, commit.epoch)
+                self.assertIsNone(platform.lose_answers_of)
+            trail = await porcelain.list_changes(platform, 10)
+            self.assertEqual([2, 1], [change["epoch"] for change in trail])
+
+        self.check(case)
+
     def test_lost_answer_is_found_behind_a_later_commit(self):
         async def case(platform):
             other = MemoryKeyValueStore(self.store)
