Add `guavagap trace`: explain a request by the logs of several nodes

The lines of one request are joined across nodes in order, with what was known of each place and for how long, whether it may have run, and what the nodes that it met learned in the five seconds before. A reader had to do this by hand (grep by id, then by owner).

--- a/guavagap/cli.py
+++ b/guavagap/cli.py
@@ -24,6 +24,7 @@
 )
 from guavagap.logs import configure_command_logs
 from guavagap.platform.store import open_key_value_store
+from guavagap.request_trace import describe_trace, read_log, trace_request
 from guavagap.settings import parse_platform_url
 
 __all__ = ["main", "run"]
@@ -218,6 +219,22 @@
     )
 
 
+@main.command()
+@click.argument("request_id")
+@click.argument("logs", nargs=-1, required=True, type=click.File(errors="replace"))
+@click.pass_obj
+def trace(context, request_id, logs):
+    """Explain a request by the logs of nodes; - reads standard input."""
+    lines = [line for log in logs for line in read_log(log)]
+    found = trace_request(request_id, lines)
+    value = found._asdict()
+    for part in ("steps", "context"):
+        value[part] = [line._asdict() for line in value[part]]
+    context.show(value, "\n".join(describe_trace(found)))
+    if not found.steps:
+        sys.exit(EXIT_REFUSED)
+
+
 @main.command()
 @click.option("--above-epoch", required=True, type=click.IntRange(0))
 @click.option("--author", default=getpass.getuser)
