End the wait for a slot where the target latency can no longer be met

Cause: with every slot taken a request waited up to half of its time left. Change: the last wait is what the target leaves beside the mean run of that backend server, at least a fifth of the target, at most half of the time left.

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -38,15 +38,39 @@
 # How many nodes are asked for a short wait before the request waits longer.
 MAX_PROBES = 2
 # How long a request may wait for a slot: a share of its target latency at first,
-# while others may be free, and a share of its time at last. The rest is left for the
-# work itself.
+# while others may be free; at last as long as its target can be met, and a little in
+# any case, but never so long that no time is left for the work itself.
 FIRST_WAIT_SHARE_OF_TARGET = 0.4
+LAST_WAIT_LEAST_SHARE_OF_TARGET = 0.2
 LAST_WAIT_SHARE_OF_TIME_LEFT = 0.5
+# Runs take up to this much longer than the mean of their backend server.
+RUN_TIME_MARGIN = 1.25
 MIN_WAIT_S = 0.001
 # Below this share of its target latency another attempt comes to nothing.
 RETRY_TIME_SHARE_OF_TARGET = 0.3
 
 
+def last_wait_s(
+    target_s: float, slowness: float, waited_s: float, left_s: float
+) -> float:
+    """Return how long a request may wait where every place looked full.
+
+    A request that waits past its target takes a slot from one that would meet it,
+    so the wait ends where the mean run would no longer fit.
+
+    Args:
+        target_s: the target latency; 0 for none.
+        slowness: the backend server's mean run time as a share of the target.
+        waited_s: time since the request arrived.
+        left_s: time until its deadline.
+    """
+    longest_s = LAST_WAIT_SHARE_OF_TIME_LEFT * left_s
+    if not target_s:
+        return longest_s
+    spare_s = target_s * (1 - RUN_TIME_MARGIN * slowness) - waited_s
+    return min(longest_s, max(spare_s, LAST_WAIT_LEAST_SHARE_OF_TARGET * target_s))
+
+
 class _Progress:
     """What the attempts of one request have met so far."""
 
@@ -137,7 +161,7 @@
             attempt = Attempt()
             try:
                 target = self._choose(exchange, progress)
-                placed = self._placed(exchange, progress)
+                placed = self._placed(exchange, progress, target)
                 try:
                     await self._try(placed, target, attempt, progress, budget)
                     budget.note_success()
@@ -192,17 +216,20 @@
             f"no backend server of {share.service.service} is available",
         )
 
-    def _placed(self, exchange: Exchange, progress: _Progress) -> Exchange:
+    def _placed(
+        self, exchange: Exchange, progress: _Progress, target: Target
+    ) -> Exchange:
         """Return the exchange with how long it may wait where it goes next."""
         if not self._node.is_forwarding_only:
             return exchange
         now_s = time.monotonic()
-        left_s = exchange.request.deadline_s - now_s
+        waited_s = now_s - exchange.started_s
+        target_s = exchange.route.target_latency_s
         if len(progress.busy) < self._probes(exchange, progress):
-            limit_s = FIRST_WAIT_SHARE_OF_TARGET * exchange.route.target_latency_s
-            wait_s = limit_s - (now_s - exchange.started_s)
+            wait_s = FIRST_WAIT_SHARE_OF_TARGET * target_s - waited_s
         else:
-            wait_s = LAST_WAIT_SHARE_OF_TIME_LEFT * left_s
+            left_s = exchange.request.deadline_s - now_s
+            wait_s = last_wait_s(target_s, target.health.slowness, waited_s, left_s)
         wait_s = max(MIN_WAIT_S, wait_s)
         request = exchange.request._replace(max_wait_s=wait_s)
         return exchange._replace(request=request)
