Add a load tool with callers that come back as the platform's do

Callers count deadline and target from the first attempt, honour Retry-After, and repeat requests that are not idempotent after a promise of 'not run' only. Tests: test_callers.py.

--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,85 @@
+"""Load tool: a small mesh under an open load, with a report by kind of request.
+
+Run it as ``python -m standins.load``; ``--help`` lists the options.
+"""
+
+import sys
+import tempfile
+import threading
+from pathlib import Path
+
+import click
+import curio
+
+from guavagap.addresses import Address
+from standins.callers import Callers, CallKind, KindReport
+from standins.operator_fleet import OperatorFleet, RouteSpec, open_operator_fleet
+
+__all__ = ["format_reports", "main"]
+
+ZONES = ("za", "zb")
+ROUTES = [
+    RouteSpec("/browse/", {"shop": 1}, priority=2),
+    RouteSpec("/pay/", {"shop": 1}, False, target_latency_s=0.8, priority=1),
+    RouteSpec("/upload/", {"shop": 1}, False, target_latency_s=0.3, priority=0),
+]
+KINDS = [
+    CallKind("browse", "/browse/x", True, 0.6, target_s=0.5, deadline_s=2.0),
+    CallKind("pay", "/pay/x", False, 0.25, target_s=0.8, deadline_s=2.0),
+    CallKind("upload", "/upload/x", False, 0.15, target_s=0.3, deadline_s=1.2),
+]
+_COLUMNS = "{:10}{:>8}{:>11}{:>7}{:>9}{:>8}{:>9}{:>9}"
+_HEAD = ("kind", "asked", "in target", "late", "refused", "failed", "p50 ms", "p99 ms")
+
+
+def format_reports(reports: list[KindReport]) -> str:
+    """Return a table of reports."""
+    return "\n".join(_COLUMNS.format(*row) for row in (_HEAD, *reports))
+
+
+def _start(fleet: OperatorFleet, nodes: int, slots: int, work_s: float) -> None:
+    fleet.configure(1, ROUTES)
+    node_ids = [f"n{number}" for number in range(nodes)]
+    for number, node_id in enumerate(node_ids):
+        fleet.start_operator_node(node_id, ZONES[number % len(ZONES)], "shop")
+    for node_id in node_ids:
+        fleet.start_upstream(f"i-{node_id}", node_id, "shop", slots=slots)
+    fleet.wait_ready()
+    fleet.wait_targets("shop", nodes)
+    for server_id in fleet.servers:
+        fleet.set_upstream(server_id, delay_s=work_s)
+
+
+def _kill_one(fleet: OperatorFleet) -> None:
+    node_id = next(iter(fleet.nodes))
+    fleet.kill(fleet.nodes[node_id].process)
+    click.echo(f"killed {node_id}")
+
+
+@click.command()
+@click.option("--nodes", type=click.IntRange(1, 50), default=4, show_default=True)
+@click.option("--slots", type=click.IntRange(1, 100), default=6, show_default=True)
+@click.option("--work-s", type=click.FloatRange(0, 10), default=0.1, show_default=True)
+@click.option("--rate", type=click.FloatRange(1, 5000), default=100, show_default=True)
+@click.option("--duration-s", type=click.FloatRange(1, 600), default=10.0)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--kill-one", is_flag=True, help="Kill a node half-way.")
+def main(nodes, slots, work_s, rate, duration_s, seed, kill_one):
+    """Load a mesh of NODES with RATE requests a second and report by kind."""
+    with tempfile.TemporaryDirectory(prefix="guavagap-load-") as folder:
+        with open_operator_fleet(Path(folder)) as fleet:
+            _start(fleet, nodes, slots, work_s)
+            addresses = [
+                Address("127.0.0.1", node.caller_port) for node in fleet.nodes.values()
+            ]
+            callers = Callers(addresses, KINDS, seed)
+            timer = threading.Timer(duration_s / 2, _kill_one, [fleet])
+            if kill_one:
+                timer.start()
+            curio.run(callers.run, rate, duration_s)
+            timer.cancel()
+    click.echo(format_reports(callers.reports()))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,97 @@
+"""Tests of the stand-in callers: what they repeat and how they count."""
+
+import curio
+from curio import socket
+
+from guavagap.addresses import Address
+from guavagap.http_messages import HttpResponse, accept_connections, serve_http
+from guavagap.tasks import open_task_scope
+from standins.callers import Callers, CallKind
+from tests.cases import AsyncTestCase
+
+# Enough for a few requests, each of which is checked.
+RATE_PER_S = 20.0
+DURATION_S = 0.2
+
+
+class CallerTests(AsyncTestCase):
+    def outcome_of(self, statuses: list[int], is_idempotent: bool, headers=()):
+        """Return report and attempts, with attempts answered by turns.
+
+        Args:
+            statuses: answers to the first, second, ... attempt of each request;
+                0 closes the connection.
+        """
+        attempts: list[bytes] = []
+
+        async def handle(request):
+            status = statuses[len(attempts) % len(statuses)]
+            attempts.append(dict(request.headers)[b"x-deadline-ms"])
+            if not status:
+                raise OSError("closed")
+            return HttpResponse(status, list(headers), b"")
+
+        async def case():
+            listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(10)
+            address = Address(*listener.getsockname())
+            kind = CallKind(
+                "k", "/x", is_idempotent, 1.0, target_s=30.0, deadline_s=60.0
+            )
+            callers = Callers([address], [kind])
+            async with open_task_scope("server") as scope:
+                serve = self._server(handle)
+                await scope.spawn(accept_connections, listener, scope, serve)
+                # One request at a time, so that its attempts are in a row.
+                for _ in range(2):
+                    await callers.request(kind)
+            return callers.reports()[0]
+
+        return self.run_async(case), attempts
+
+    def _server(self, handle):
+        async def serve(sock):
+            await serve_http(sock, handle)
+
+        return serve
+
+    def test_answers_in_time_are_counted(self):
+        report, attempts = self.outcome_of([200], False)
+        self.assertEqual((2, 2, 0, 0, 0), report[1:6])
+        self.assertEqual(2, len(attempts))
+
+    def test_refusal_is_repeated_after_its_time_with_what_is_left(self):
+        retry_after = [(b"retry-after", b"0.2")]
+        report, attempts = self.outcome_of([503, 200], False, retry_after)
+        self.assertEqual((2, 2, 0, 0, 0), report[1:6])
+        self.assertLess(int(attempts[1]), int(attempts[0]) - 150)
+
+    def test_refused_twice_is_refused(self):
+        report, attempts = self.outcome_of([503], True)
+        self.assertEqual((2, 0, 0, 2, 0), report[1:6])
+        self.assertEqual(4, len(attempts))
+
+    def test_unknown_outcome_is_repeated_for_idempotent_requests_only(self):
+        report, attempts = self.outcome_of([502], False)
+        self.assertEqual((2, 0, 0, 0, 2), report[1:6])
+        self.assertEqual(2, len(attempts))
+        report, attempts = self.outcome_of([502, 200], True)
+        self.assertEqual((2, 2, 0, 0, 0), report[1:6])
+
+    def test_final_answer_is_not_repeated(self):
+        report, attempts = self.outcome_of([404], True)
+        self.assertEqual((2, 0, 0, 0, 2), report[1:6])
+        self.assertEqual(2, len(attempts))
+
+    def test_load_is_open(self):
+        async def case():
+            kind = CallKind("k", "/x", False, 1.0, target_s=0.1, deadline_s=0.1)
+            callers = Callers([Address("127.0.0.1", 1)], [kind], seed=1)
+            async with curio.timeout_after(5.0):
+                await callers.run(RATE_PER_S, DURATION_S)
+            report = callers.reports()[0]
+            self.assertGreater(report.asked, 0)
+            self.assertEqual(report.asked, report.failed)
+
+        self.run_async(case)
