--- /dev/null
+++ b/tests/test_operator_changes.py
@@ -0,0 +1,159 @@
+"""Changes of configuration and departures on an operator's platform.
+
+Real processes; the stand-in backend servers' ledgers are the judge of what was run.
+"""
+
+import http.client
+import signal
+import threading
+import time
+from collections import Counter
+
+from standins.fleet import wait_until
+from standins.operator_fleet import RouteSpec
+from tests.operator_cases import CALLS, GRACE_S, LAYOUT, OperatorTestCase
+
+# The bounds that the platform states for these deployments.
+DRAIN_BOUND_S = 2.0
+CONFIG_BOUND_S = 2.0
+
+
+class ConfigurationTests(OperatorTestCase):
+    def test_change_is_in_force_everywhere_in_time_and_never_goes_back(self):
+        fleet = self.start()
+        fleet.configure(9, [*CALLS, RouteSpec("/new/", {"shop": 1})])
+        deadline_s = time.monotonic() + CONFIG_BOUND_S
+        waiting = set(LAYOUT)
+        while waiting and time.monotonic() < deadline_s:
+            for node_id in list(waiting):
+                if fleet.request(node_id, "/new/x", "q").status == 200:
+                    waiting.discard(node_id)
+        self.assertEqual(set(), waiting)
+        fleet.configure(8, CALLS)
+        time.sleep(0.5)
+        for node_id in LAYOUT:
+            self.assertEqual(200, fleet.request(node_id, "/new/x", "q").status)
+
+    def test_garbage_in_the_store_leaves_the_configuration_in_force(self):
+        fleet = self.start(layout={"a1": "za"})
+        fleet.write_item("op/config", b"\x00 not json")
+        time.sleep(0.5)
+        self.assertEqual(200, fleet.request("a1", "/shop/x", "q").status)
+
+    def test_change_reaches_nodes_whose_feeders_are_frozen(self):
+        fleet = self.start()
+        feeders = [
+            row["node_id"]
+            for row in fleet.status("a1")["members"]
+            if row["is_relay"] and row["failure_domain"] == "za"
+        ]
+        self.assertTrue(feeders)
+        fleet.nodes[feeders[0]].process.send_signal(signal.SIGSTOP)
+        self.addCleanup(fleet.nodes[feeders[0]].process.send_signal, signal.SIGCONT)
+        fleet.configure(9, [*CALLS, RouteSpec("/new/", {"shop": 1})])
+        others = [node_id for node_id in LAYOUT if node_id != feeders[0]]
+        for node_id in others:
+            wait_until(
+                lambda: fleet.request(node_id, "/new/x", "q").status != 404,
+                CONFIG_BOUND_S + 1.0,
+                f"{node_id} has the new route",
+            )
+
+    def test_outage_of_the_store_costs_no_request(self):
+        fleet = self.start()
+        fleet.set_platform(is_down=True)
+        for number in range(30):
+            self.assertEqual(200, fleet.request("b1", "/shop/x", f"q{number}").status)
+        fleet.set_platform(is_down=False)
+        fleet.configure(9, [*CALLS, RouteSpec("/new/", {"shop": 1})])
+        wait_until(lambda: fleet.request("b1", "/new/x", "q").status == 200)
+
+    def test_lost_history_and_revoked_entries_are_recovered(self):
+        fleet = self.start()
+        fleet.post_platform("/compact")
+        fleet.post_platform("/revoke/mesh%2Fnode%2F")
+        wait_until(lambda: fleet.read_platform("mesh/node/a1"), what="entry written")
+        fleet.configure(9, [*CALLS, RouteSpec("/new/", {"shop": 1})])
+        wait_until(lambda: fleet.request("b1", "/new/x", "q").status == 200)
+
+
+class DrainTests(OperatorTestCase):
+    def test_draining_backend_server_gets_nothing_new_in_time(self):
+        fleet = self.start()
+        fleet.set_upstream("i-a1", state="draining")
+        time.sleep(DRAIN_BOUND_S)
+        before = fleet.ledger("i-a1")["runs"]
+        for number in range(40):
+            reply = fleet.request("a1", "/shop/x", f"after{number}")
+            self.assertEqual(200, reply.status)
+        self.assertEqual(before, fleet.ledger("i-a1")["runs"])
+
+    def test_backend_server_that_leaves_first_is_drained_too(self):
+        fleet = self.start()
+        fleet.set_upstream("i-a1", is_silent=True)
+        self.assertEqual(200, fleet.report("a1", "i-a1", "DELETE").status)
+        time.sleep(DRAIN_BOUND_S)
+        before = fleet.ledger("i-a1")["runs"]
+        for number in range(40):
+            fleet.request("a2", "/shop/x", f"after{number}")
+        self.assertEqual(before, fleet.ledger("i-a1")["runs"])
+
+    def test_late_report_of_an_earlier_start_changes_nothing(self):
+        fleet = self.start()
+        fleet.set_upstream("i-a1", is_silent=True)
+        time.sleep(0.5)
+        stale = (
+            b'{"service":"shop","address":"127.0.0.1:%d","version":"v1","slots":6,'
+            b'"state":"draining","coldRemainingS":0,"seq":900,"born":1}'
+            % fleet.servers["i-a1"].port
+        )
+        fleet.report("a1", "i-old", "PUT", stale)
+        for number in range(20):
+            fleet.request("a1", "/shop/x", f"q{number}")
+        self.assertTrue(fleet.ledger("i-a1")["runs"])
+
+    def test_unreadable_report_is_refused_and_the_others_hold(self):
+        fleet = self.start(layout={"a1": "za"})
+        self.assertEqual(400, fleet.report("a1", "i-x", "PUT", b"\xff").status)
+        self.assertEqual(
+            400, fleet.report("a1", "i-a1", "PUT", b'{"state":"odd"}').status
+        )
+        self.assertEqual(200, fleet.request("a1", "/shop/x", "q").status)
+
+    def test_stop_of_a_node_cuts_nothing_and_says_not_ready_at_once(self):
+        fleet = self.start()
+        fleet.set_upstream("i-b1", delay_s=0.2)
+        statuses: Counter = Counter()
+        stopping = threading.Event()
+
+        def call(worker: int) -> None:
+            number = 0
+            while not stopping.is_set():
+                number += 1
+                request_id = f"w{worker}-{number}"
+                try:
+                    reply = fleet.request("b1", "/pay/x", request_id, "POST")
+                    statuses[reply.status] += 1
+                except (OSError, http.client.HTTPException) as error:
+                    statuses[repr(error)] += 1
+
+        threads = [threading.Thread(target=call, args=(n,)) for n in range(4)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        process = fleet.nodes["b1"].process
+        process.send_signal(signal.SIGTERM)
+        wait_until(lambda: fleet.ready_status("b1") == 503, 1.0, "not ready")
+        time.sleep(1.5)
+        stopping.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(0, process.wait(GRACE_S))
+        self.assertEqual({200}, set(statuses), statuses)
+
+    def test_hangup_signal_changes_nothing(self):
+        fleet = self.start(layout={"a1": "za"})
+        fleet.nodes["a1"].process.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+        self.assertIsNone(fleet.nodes["a1"].process.poll())
+        self.assertEqual(200, fleet.request("a1", "/shop/x", "q").status)
