--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -1,15 +1,17 @@
 """Tests of the rollout policy, and of rollouts on real processes."""
 
+import math
 import random
 import threading
 import time
+from bisect import bisect_left
 from pathlib import Path
 
 import testtools
 from hypothesis import given, settings, strategies
 
 from guavagap.evidence import LATENCY_BOUNDS_MS, EvidenceRow, EvidenceWindows
-from guavagap.rollouts import SEQUENTIAL_POLICY, decide, find_fault
+from guavagap.rollouts import ORDERED_POLICY, SEQUENTIAL_POLICY, decide, find_fault
 from standins.demo import write_catalogue
 from standins.fleet import wait_until
 from tests.cases import FleetTestCase
@@ -17,6 +19,10 @@
 
 BUCKETS = len(LATENCY_BOUNDS_MS) + 1
 ZERO_TRAFFIC_S = 3.0
+# Sound backend servers of one service differ by a factor of three on the platform.
+SERVER_SPEEDS = (0.5, 1.0, 1.0, 1.5)
+MEAN_RUN_MS = 160.0
+RUN_SPREAD = 0.5
 
 
 def make_row(version, requests, failures=0, server="s", bucket=2, route="r"):
@@ -25,6 +31,16 @@
     return EvidenceRow("cart", version, route, server, requests, failures, buckets)
 
 
+def draw_row(chance, version, server, requests, speed):
+    """Return a row of requests whose times are drawn for a server's speed."""
+    buckets = [0] * BUCKETS
+    mean = math.log(MEAN_RUN_MS * speed) - RUN_SPREAD**2 / 2
+    for _ in range(requests):
+        time_ms = chance.lognormvariate(mean, RUN_SPREAD)
+        buckets[bisect_left(LATENCY_BOUNDS_MS, time_ms)] += 1
+    return EvidenceRow("cart", version, "r", server, requests, 0, tuple(buckets))
+
+
 def make_rollout(weight=10, state="running", started_s=0.0, complete_by_s=100.0):
     """Return a rollout that started at 0."""
     return {
@@ -74,6 +90,26 @@
             stalled.append(make_row("v2", 40, server=f"n{number}", bucket=bucket))
         self.assertIsNone(self.find(usual, usual, stalled, usual))
 
+    def test_version_on_the_slowest_sound_servers_is_not_blamed(self):
+        found = [seed for seed in range(40) if self.is_slow_pair_blamed(seed)]
+        self.assertEqual([], found)
+
+    def is_slow_pair_blamed(self, seed: int) -> bool:
+        """Judge a version with two servers as slow as the old one's slowest."""
+        chance = random.Random(seed)
+        windows = EvidenceWindows("v1", "v2")
+        for _ in range(60):
+            rows = [
+                draw_row(chance, "v1", f"o{number}", 6, speed)
+                for number, speed in enumerate(SERVER_SPEEDS)
+            ]
+            slowest = max(SERVER_SPEEDS)
+            rows += [draw_row(chance, "v2", f"n{n}", 2, slowest) for n in range(2)]
+            windows.add_tick(tuple(rows))
+            if find_fault(ORDERED_POLICY, windows.windows()) is not None:
+                return True
+        return False
+
     def test_one_bad_server_of_four_is_not_a_bad_version(self):
         rows = [make_row("v1", 2000, 2)]
         rows += [make_row("v2", 50, 0, server=f"s{n}") for n in range(3)]
