Refuse a request on a kept connection that would outlive a stopping node

A node got SIGTERM at 20.533 s; a caller with a connection that had been idle since sent a request at 25.768 s, the node ran it on another node's backend server and cut it at 26.156 s, when its time was over. Ruled out: new connections (none is accepted after 2.4 s). Change: once callers know of the stop, a request is taken only if its deadline is before the end; others get 503 at once with when to come back, and have not run. Test: test_request_that_comes_too_late_before_a_stop_is_refused_whole, a cut connection before.

--- a/guavagap/daemon.py
+++ b/guavagap/daemon.py
@@ -98,15 +98,17 @@
     nodes in full meanwhile, so that its backend server is missed for less long.
     """
     node.is_draining = True
-    deadline_s = time.monotonic() + node.settings.drain_timeout_s * DRAIN_SHARE
+    ends_at_s = time.monotonic() + node.settings.drain_timeout_s * DRAIN_SHARE
     await curio.sleep(node.deployment.accept_after_stop_s)
     await node.leave()
     await acceptor.cancel()
+    # From here on a request is taken only if its time is over before the end.
+    node.ends_at_s = ends_at_s
     # Other nodes learn from their next message, and callers with kept connections
     # from their next answer, that this one ends.
     notice_s = min(node.deployment.stop_notice_s, node.settings.drain_timeout_s)
     await curio.sleep(notice_s)
-    while time.monotonic() < deadline_s and _work_in_flight(node):
+    while time.monotonic() < ends_at_s and _work_in_flight(node):
         await curio.sleep(DRAIN_CHECK_S)
 
 
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -1,5 +1,6 @@
 """The parts of one node and how they are put together."""
 
+import math
 import time
 from collections import Counter
 from contextlib import asynccontextmanager
@@ -68,6 +69,7 @@
     Attributes:
         is_ready: whether the highest epoch that can be learned is applied.
         is_draining: whether the node is shutting down.
+        ends_at_s: monotonic time at which what is still in flight is cut.
         is_synchronised: whether another node's member table has been taken over.
         fronts: one for each local backend server.
     """
@@ -88,6 +90,7 @@
         self.scope = scope
         self.is_ready = False
         self.is_draining = False
+        self.ends_at_s = math.inf
         self.configuration = deployment.configuration
         self.notices = NoticeSet()
         self.poison = PoisonGuard()
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -172,6 +172,11 @@
         route = find_route(snapshot, host_name.lower(), path, head.method)
         if route is None:
             raise GuavagapError(ErrorKind.NO_ROUTE, "no route covers this request")
+        deadline_s = started_s + _timeout_s(head, route, self._dialect.timeout)
+        if deadline_s > node.ends_at_s:
+            raise GuavagapError(
+                ErrorKind.DRAINING, "this node may end before the request's deadline"
+            )
         extra = [*self._dialect.via, (self._dialect.request_id, request_id)]
         if node.is_draining:
             extra.append((b"connection", b"close"))
@@ -185,7 +190,9 @@
         )
         await downstream.read_ahead()
         await self.attempts.run(
-            self._make_exchange(head, route, request_id, downstream, started_s)
+            self._make_exchange(
+                head, route, request_id, downstream, started_s, deadline_s
+            )
         )
 
     def _make_exchange(
@@ -195,6 +202,7 @@
         request_id: bytes,
         downstream: CallerDownstream,
         started_s: float,
+        deadline_s: float,
     ) -> Exchange:
         dialect, router = self._dialect, self._node.router
         headers = [
@@ -213,7 +221,7 @@
             head.content_length_bytes,
             head.has_body,
             route.is_idempotent,
-            started_s + _timeout_s(head, route, dialect.timeout),
+            deadline_s,
             route.priority,
             target_latency_s=route.target_latency_s,
         )
--- a/standins/operator_fleet.py
+++ b/standins/operator_fleet.py
@@ -14,7 +14,7 @@
     wait_until,
 )
 
-__all__ = ["OperatorFleet", "RouteSpec", "open_operator_fleet"]
+__all__ = ["HOST", "OperatorFleet", "RouteSpec", "open_operator_fleet"]
 
 HOST = "shop.example"
 
--- a/tests/test_operator_changes.py
+++ b/tests/test_operator_changes.py
@@ -10,7 +10,7 @@
 from collections import Counter
 
 from standins.fleet import wait_until
-from standins.operator_fleet import RouteSpec
+from standins.operator_fleet import HOST, RouteSpec
 from tests.operator_cases import CALLS, GRACE_S, LAYOUT, OperatorTestCase
 
 # The bounds that the platform states for these deployments.
@@ -151,6 +151,35 @@
         self.assertEqual(0, process.wait(GRACE_S))
         self.assertEqual({200}, set(statuses), statuses)
 
+    def test_request_that_comes_too_late_before_a_stop_is_refused_whole(self):
+        routes = [RouteSpec("/shop/", {"shop": 1}, timeout_s=GRACE_S)]
+        fleet = self.start(routes=routes)
+        kept = http.client.HTTPConnection(
+            "127.0.0.1", fleet.nodes["b1"].caller_port, timeout=GRACE_S
+        )
+        self.addCleanup(kept.close)
+        headers = {"Host": HOST, "X-Deadline-Ms": "5000", "X-Request-Id": "kept"}
+        kept.request("GET", "/shop/x", headers=headers)
+        self.assertEqual(200, kept.getresponse().read() and 200)
+        for server_id in fleet.servers:
+            fleet.set_upstream(server_id, delay_s=4.6)
+        process = fleet.nodes["b1"].process
+        process.send_signal(signal.SIGTERM)
+        stopped_at_s = time.monotonic()
+        fields = {"X_Deadline_Ms": "5000"}
+        in_flight = threading.Thread(
+            target=fleet.request, args=("b1", "/shop/x", "w"), kwargs=fields
+        )
+        in_flight.start()
+        time.sleep(max(0.0, stopped_at_s + 3.5 - time.monotonic()))
+        kept.request("GET", "/shop/x", headers=headers | {"X-Request-Id": "late"})
+        reply = kept.getresponse()
+        in_flight.join()
+        self.assertEqual(503, reply.status)
+        self.assertIsNotNone(reply.headers["retry-after"])
+        process.wait(GRACE_S)
+        self.assertEqual(0, self.runs(fleet, "late"))
+
     def test_hangup_signal_changes_nothing(self):
         fleet = self.start(layout={"a1": "za"})
         fleet.nodes["a1"].process.send_signal(signal.SIGHUP)
