Open a stream before its task runs, so that no frame of it is lost

Cause: the handler of OpenStream started a task that opened the stream. Frames that followed in the same read could be dispatched before that task ran and were dropped as frames of an unknown stream. A body over 64 KiB, whose rest follows in further frames, then reached the backend server short: 504 at the deadline, or 400.

Ruled out: credit (the sender had 256 KiB of it), the read-ahead of callers (bodies of 65,536 bytes passed).

Change: the receiving task opens the stream. A stream beyond the limit is refused as not run, where the request got no answer before; one that is given up before its task runs is not run.

--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -25,7 +25,9 @@
     PermitReply,
     PermitRequest,
     PermitRevoke,
+    StreamReset,
 )
+from guavagap.streams import Stream
 
 __all__ = ["handle_message"]
 
@@ -51,12 +53,25 @@
 
 @handle_message.register
 async def _(message: OpenStream, node, link) -> None:
-    await node.scope.spawn(_run_forwarded, message, node, link)
+    # Opened here, since the next frame may belong to it before the task runs.
+    try:
+        stream = link.add_stream(message.stream_id)
+    except GuavagapError as error:
+        if error.kind is not ErrorKind.OVERLOADED:
+            raise
+        log.info("stream refused", peer=link.peer_id, why=error.detail)
+        await link.send(
+            StreamReset(message.stream_id, error.kind.value, error.detail, True)
+        )
+        return
+    await node.scope.spawn(_run_forwarded, message, stream, node, link)
 
 
-async def _run_forwarded(opening: OpenStream, node, link) -> None:
+async def _run_forwarded(opening: OpenStream, stream: Stream, node, link) -> None:
     """Run a forwarded request on a local backend server."""
-    stream = link.add_stream(opening.stream_id)
+    if stream.reset is not None:
+        stream.close()
+        return
     stream.cancel_on_reset(await curio.current_task())
 
     def read_condition() -> Condition:
