Send a body to another failure domain only once the request has a slot there

Ruled out: a dearer crossing for all (weighed before: it keeps requests at full servers), bodies in parts (the waste is the first part).

Change: over a link to another failure domain a body of more than 512 bytes is held; the owner asks for it by a grant of credit when the request has its slot, and waits for it at most half a second. The slot is empty for one round trip, 2 to 3 ms. Nothing can run before the body is sent, so a link lost until then leaves the request as not run, where it was unknown before.

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -385,7 +385,10 @@
         self._counts["path_forwarded"] += 1
         link = await node.links.get(target.node_id)
         stream = link.open_stream()
-        upstream = StreamExchange(stream, target.server.server_id, target.health)
+        is_far = target.failure_domain != node.settings.failure_domain
+        upstream = StreamExchange(
+            stream, target.server.server_id, target.health, is_far
+        )
         attempt.upstream = upstream
         return await relay_exchange(request, downstream, upstream, judge)
 
--- a/guavagap/backend_front.py
+++ b/guavagap/backend_front.py
@@ -111,6 +111,7 @@
                 raise GuavagapError(
                     ErrorKind.DEADLINE_BEFORE_RUN, "the deadline passed in the queue"
                 )
+            await downstream.fetch_held_body()
             connection = await self.connections.take_idle()
             if connection is None:
                 connection = await self.connections.connect()
--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -109,6 +109,13 @@
     is_body_ended: bool = False
     is_answer_started: bool = False
 
+    async def fetch_held_body(self) -> None:
+        """Ask for a body that is held back until the request has a slot.
+
+        Raises:
+            GuavagapError: LINK_UNREACHABLE when none of it comes.
+        """
+
     @abstractmethod
     async def read_body(self) -> bytes | None:
         """Return the next body bytes, None at the end.
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -3,6 +3,8 @@
 import time
 from typing import Callable
 
+import curio
+
 from guavagap.directory import ServerHealth
 from guavagap.errors import ErrorKind, GuavagapError, answer_for
 from guavagap.exchange import AnswerHead, Downstream, ForwardedRequest, Upstream
@@ -14,11 +16,17 @@
     StreamAnswer,
     StreamReset,
 )
-from guavagap.streams import MAX_CHUNK_BYTES, Stream
+from guavagap.streams import INITIAL_CREDIT_BYTES, MAX_CHUNK_BYTES, Stream
 
 __all__ = ["StreamDownstream", "StreamExchange", "request_from_open_stream"]
 
 
+# A body of about the size of a compressed head is sent with it.
+MAX_UNASKED_BODY_BYTES = 512
+# Several times the longest way between regions. The slot is empty meanwhile.
+HELD_BODY_TIMEOUT_S = 0.5
+
+
 def _to_ms(duration_s: float) -> int:
     """Return whole milliseconds; a duration above zero stays above zero."""
     return max(1, int(duration_s * 1000)) if duration_s > 0 else 0
@@ -41,9 +49,14 @@
         stream: a new stream, closed at the end.
         server_id: the backend server that should run it.
         health: told the load that the other node reports.
+        is_far: whether bytes to the other node are dear, so that a body follows
+            only once the request has a slot there.
     """
 
-    def __init__(self, stream: Stream, server_id: str, health: ServerHealth):
+    def __init__(
+        self, stream: Stream, server_id: str, health: ServerHealth, is_far: bool
+    ):
+        self._is_far = is_far
         self._stream = stream
         self._server_id = server_id
         self._health = health
@@ -51,7 +64,8 @@
     async def send_request(self, request: ForwardedRequest, chunks, is_complete):
         timeout_ms = max(0, int((request.deadline_s - time.monotonic()) * 1000))
         body = b"".join(chunks)
-        first = body[:MAX_CHUNK_BYTES]
+        is_body_held = self._is_far and len(body) > MAX_UNASKED_BODY_BYTES
+        first = b"" if is_body_held else body[:MAX_CHUNK_BYTES]
         is_whole = is_complete and len(first) == len(body)
         length = request.content_length_bytes
         headers = list(request.headers)
@@ -70,13 +84,36 @@
             request.priority,
             NO_WAIT_LIMIT if request.max_wait_s is None else _to_ms(request.max_wait_s),
             _to_ms(request.target_latency_s),
+            is_body_held,
         )
+        if is_body_held:
+            await self._send_when_asked(message, body, is_complete)
+            return
         await self._stream.take_credit(len(first))
         self.is_written = True
         await self._stream.link.send(message)
         if not is_whole and len(body) > len(first):
             await self._stream.send_body(body[len(first) :], is_complete)
 
+    async def _send_when_asked(self, opening: OpenStream, body: bytes, is_complete):
+        """Send a head, and its body once the other node has a slot for it.
+
+        Nothing can run before the body is sent, so a link that is lost until then
+        leaves the request as not run.
+        """
+        stream = self._stream
+        stream.hold_sending()
+        try:
+            await stream.link.send(opening)
+            await stream.wait_credit()
+        except GuavagapError as error:
+            raise GuavagapError(ErrorKind.LINK_UNREACHABLE, error.detail) from None
+        if stream.reset is not None:
+            # The answer to be read next is that reset.
+            return
+        self.is_written = True
+        await stream.send_body(body, is_complete)
+
     async def send_body(self, chunk):
         await self._stream.send_body(chunk or b"", chunk is None)
 
@@ -138,7 +175,21 @@
         self.is_body_ended = opening.is_complete
         self.chunks = [opening.body] if opening.body else []
         self.is_body_complete = opening.is_complete
+        self._is_body_held = opening.is_body_held
         self._stream = stream
+        if opening.is_body_held:
+            stream.hold_receiving()
+
+    async def fetch_held_body(self):
+        if not self._is_body_held:
+            return
+        self._is_body_held = False
+        await self._stream.grant(INITIAL_CREDIT_BYTES)
+        chunk = await curio.ignore_after(HELD_BODY_TIMEOUT_S, self.read_body)
+        if chunk is None:
+            raise GuavagapError(ErrorKind.LINK_UNREACHABLE, "the body did not come")
+        self.chunks = [chunk]
+        self.is_body_complete = self.is_body_ended
 
     async def read_body(self):
         if self.is_body_ended:
--- a/guavagap/messages.py
+++ b/guavagap/messages.py
@@ -177,6 +177,8 @@
     Attributes:
         max_wait_ms: how long it may wait for a slot, or NO_WAIT_LIMIT.
         target_latency_ms: within which an answer is worth most; 0 for none.
+        is_body_held: whether the body follows only once the receiver grants credit
+            for it, which it does when it has a slot.
     """
 
     stream_id: int
@@ -191,6 +193,7 @@
     priority: int = 1
     max_wait_ms: int = NO_WAIT_LIMIT
     target_latency_ms: int = 0
+    is_body_held: bool = False
 
 
 class StreamData(NamedTuple):
--- a/guavagap/schemas/mesh.capnp
+++ b/guavagap/schemas/mesh.capnp
@@ -65,6 +65,7 @@
   priority @9 :UInt8;
   maxWaitMs @10 :UInt32;
   targetLatencyMs @11 :UInt32;
+  isBodyHeld @12 :Bool;
 }
 struct Condition { load @0 :UInt16; failurePermille @1 :UInt16; slownessPermille @2 :UInt16; isKnown @3 :Bool; }
 struct StreamData { streamId @0 :UInt64; body @1 :Data; isComplete @2 :Bool; }
--- a/guavagap/streams.py
+++ b/guavagap/streams.py
@@ -41,6 +41,14 @@
         self._credit_arrived = curio.Event()
         self._runner: curio.Task | None = None
 
+    def hold_sending(self) -> None:
+        """Send no body before the other end grants credit for it."""
+        self._send_credit_bytes = 0
+
+    def hold_receiving(self) -> None:
+        """Take no body before credit for it is granted."""
+        self._receive_credit_bytes = 0
+
     async def deliver(self, message) -> None:
         """Take one frame from the link's receiving task.
 
@@ -86,9 +94,19 @@
         if self._consumed_bytes < CREDIT_STEP_BYTES:
             return
         credit_bytes, self._consumed_bytes = self._consumed_bytes, 0
+        await self.grant(credit_bytes)
+
+    async def grant(self, credit_bytes: int) -> None:
+        """Let the other end send that many more body bytes."""
         self._receive_credit_bytes += credit_bytes
         await self.link.send(StreamCredit(self.stream_id, credit_bytes))
 
+    async def wait_credit(self) -> None:
+        """Wait until any body bytes may be sent or the stream is reset."""
+        while not self._send_credit_bytes and self.reset is None:
+            self._credit_arrived.clear()
+            await self._credit_arrived.wait()
+
     async def take_credit(self, size_bytes: int) -> None:
         """Wait until that many body bytes may be sent.
 
--- a/standins/operator_fleet.py
+++ b/standins/operator_fleet.py
@@ -143,12 +143,18 @@
         return http_call(port, method, f"/api/instances/{server_id}", body)
 
     def request(
-        self, node_id: str, path: str, request_id: str, method="GET", **headers: str
+        self,
+        node_id: str,
+        path: str,
+        request_id: str,
+        method="GET",
+        body: bytes = b"",
+        **headers: str,
     ) -> HttpReply:
         """Make one call as a caller of a node."""
         fields = {"X-Request-Id": request_id, "X-Deadline-Ms": "2000"}
         fields |= {name.replace("_", "-"): value for name, value in headers.items()}
-        return self.call(node_id, path, method, b"", fields, HOST)
+        return self.call(node_id, path, method, body, fields, HOST)
 
     def wait_serving(self, node_id: str, path: str) -> None:
         """Wait until a node answers requests on a path."""
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -49,6 +49,7 @@
         self.waiting = 0
         self.peak_running = 0
         self.runs: Counter[str] = Counter()
+        self.body_bytes: dict[str, int] = {}
         self.callers: Counter[str] = Counter()
         self.cancelled = 0
         self.knobs = {
@@ -97,6 +98,7 @@
         is_full = self.waiting >= self.slots * QUEUE_PER_SLOT
         if self.knobs["refuse"] or is_full:
             return await _send(connection, 503, [*extra, (b"x-not-run", b"1")], b"")
+        self.body_bytes[request_id.decode()] = len(body)
         return await self._run(connection, head, extra)
 
     def _load(self) -> bytes:
@@ -145,6 +147,7 @@
         """Return what was run."""
         return {
             "runs": dict(self.runs),
+            "body_bytes": self.body_bytes,
             "callers": dict(self.callers),
             "peak_running": self.peak_running,
             "cancelled": self.cancelled,
--- a/tests/test_operator_mesh.py
+++ b/tests/test_operator_mesh.py
@@ -7,6 +7,7 @@
 import time
 from collections import Counter
 
+from standins.fleet import wait_until
 from standins.operator_fleet import RouteSpec
 from tests.operator_cases import LAYOUT, OperatorTestCase
 
@@ -147,6 +148,45 @@
             members = fleet.status(node_id)["members"]
             self.assertGreaterEqual(len(members), len(layout) + 1)
 
+    def test_body_crosses_to_another_failure_domain_only_for_a_slot(self):
+        fleet = self.start_two_services(slots=1)
+        fleet.set_upstream("i-b1", delay_s=1.5)
+        running = threading.Thread(
+            target=fleet.request, args=("b1", "/shop/x", "running")
+        )
+        running.start()
+        wait_until(lambda: self.runs(fleet, "running"), what="the slot taken")
+        body = bytes(20_000)
+        for number in range(5):
+            reply = fleet.request("a1", "/shop/x", f"q{number}", "POST", body)
+            self.assertEqual(503, reply.status)
+        running.join()
+        sent = {
+            name: value
+            for name, value in fleet.metrics("a1").items()
+            if name.startswith("guavagap_link_sent_bytes_total")
+        }
+        self.assertLess(sum(sent.values()), len(body), sent)
+
+    def test_bodies_of_any_size_reach_other_nodes_whole(self):
+        sizes = (0, 1, 512, 513, 65_536, 65_537, 100_000, 200_000, 400_000)
+        for failure_domain in ("za", "zb"):
+            fleet = self.start_two_services(failure_domain)
+            for size in sizes:
+                reply = fleet.request("a1", "/shop/x", f"b{size}", "POST", bytes(size))
+                self.assertEqual(200, reply.status, (failure_domain, size))
+            received = fleet.ledger("i-b1")["body_bytes"]
+            self.assertEqual({f"b{size}": size for size in sizes}, received)
+
+    def start_two_services(self, failure_domain="zb", **upstream_options):
+        """Start two nodes, the service of the routes beside the second one only."""
+        return self.start(
+            layout={"a1": "za", "b1": failure_domain},
+            services={"a1": "other"},
+            routes=[RouteSpec("/shop/", {"shop": 1}), RouteSpec("/o/", {"other": 1})],
+            **upstream_options,
+        )
+
     def test_latency_histogram_is_served(self):
         fleet = self.start(layout={"a1": "za"})
         fleet.request("a1", "/shop/x", "q")
