Hand the evaluation of rollouts over where the evaluator has lost the store

Cause: the evaluator of a service follows from the member table alone. One that the store turned away kept the role, so no decision was written from then on although other nodes reached the store.

Ruled out: a second evaluator at all times (twice the writes; harmless but paid for), a flag of every node that loses the store (one row a node spread at each outage).

Change: an evaluator that has not been served by the store for a second says so in its member row, and evaluators are chosen among the others while there are any. It takes the role back with the next call that is served.

Counting from the start of a cut watch was too early and is mended here.

--- a/guavagap/evaluator.py
+++ b/guavagap/evaluator.py
@@ -54,6 +54,7 @@
             await curio.sleep(self._book.interval_s)
             await self._book.start_pending(self._is_evaluator)
             open_rollouts = self._book.open_rollouts()
+            self._publish_store_state([*open_rollouts, *self._book.pending_services()])
             await self._send_own(open_rollouts)
             await self._collect(open_rollouts)
             await self._evaluate(open_rollouts)
@@ -65,12 +66,33 @@
         return order[0] if order else None
 
     def evaluator_of(self, service: str) -> str | None:
-        """Return the node that evaluates a service."""
+        """Return the node that evaluates a service.
+
+        Nodes that have lost the store are passed over while there are others.
+        """
         table = self._node.table
-        domains = {row.failure_domain for row in table.alive()}
-        reachable = sorted(domains - table.unreachable_domains)
-        order = rendezvous_order(service, reachable, str)
-        return self.collector_of(order[0]) if order else None
+        rows = [
+            row
+            for row in table.alive()
+            if row.failure_domain not in table.unreachable_domains
+        ]
+        rows = [row for row in rows if not row.is_store_lost] or rows
+        domains = sorted({row.failure_domain for row in rows})
+        if not domains:
+            return None
+        domain = rendezvous_order(service, domains, str)[0]
+        node_ids = [row.node_id for row in rows if row.failure_domain == domain]
+        return rendezvous_order(domain, node_ids, str)[0]
+
+    def _publish_store_state(self, services: list[str]) -> None:
+        """Let another node evaluate while this one cannot write decisions."""
+        is_lost, own = self._book.is_store_lost, self._node.table.own
+        if is_lost == own.is_store_lost:
+            return
+        if is_lost and not any(map(self._is_evaluator, services)):
+            return
+        self._node.table.publish(is_store_lost=is_lost)
+        log.info("evaluation handed over" if is_lost else "evaluation taken back")
 
     def _is_evaluator(self, service: str) -> bool:
         return self.evaluator_of(service) == self._node.settings.node_id
--- a/guavagap/messages.py
+++ b/guavagap/messages.py
@@ -85,6 +85,7 @@
     Attributes:
         incarnation: raised only by the node itself, to refute a suspicion and
             to publish a change.
+        is_store_lost: whether decisions on rollouts cannot be written from there.
     """
 
     node_id: str
@@ -97,6 +98,7 @@
     admin_address: str
     is_relay: bool = False
     backend_servers: tuple[BackendServer, ...] = ()
+    is_store_lost: bool = False
 
 
 class Notice(NamedTuple):
--- a/guavagap/metadata_store.py
+++ b/guavagap/metadata_store.py
@@ -7,6 +7,7 @@
 
 import base64
 import json
+import time
 from abc import ABC, abstractmethod
 from collections import Counter
 from typing import NamedTuple
@@ -29,6 +30,8 @@
 
 
 NO_LEASE = 0
+# Longer than calls that meet a slow store or one lost answer.
+LOST_AFTER_S = 1.0
 
 
 class MirrorItem(NamedTuple):
@@ -105,9 +108,18 @@
 
     Attributes:
         call_counts: calls by kind.
+        lost_since_s: monotonic start of the first call since the latest that the
+            store served; None when that was the latest call.
     """
 
     call_counts: Counter[str]
+    lost_since_s: float | None = None
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the store has served no call for some time."""
+        since_s = self.lost_since_s
+        return since_s is not None and time.monotonic() - since_s > LOST_AFTER_S
 
     @abstractmethod
     async def get(
--- a/guavagap/platform/store.py
+++ b/guavagap/platform/store.py
@@ -7,6 +7,7 @@
 import base64
 import binascii
 import json
+import time
 from collections import Counter
 from contextlib import asynccontextmanager
 from urllib.parse import quote
@@ -209,6 +210,7 @@
         self, method: bytes, target: str, body=None, wait_s: float = 0
     ) -> HttpResponse:
         if self.address in self._blocked:
+            self._note_served(False, time.monotonic())
             raise self._unreachable("blocked")
         headers = [(b"host", format_address(self.address).encode())]
         data = b""
@@ -216,12 +218,23 @@
             headers.append((b"content-type", b"application/json"))
             data = json.dumps(body).encode()
         request = HttpRequest(method, target.encode(), headers, data)
+        started_s = time.monotonic()
         try:
             async with curio.timeout_after(self.call_timeout_s + wait_s):
-                return await self._exchange(request)
+                response = await self._exchange(request)
         except (OSError, h11.ProtocolError, curio.TaskTimeout, GuavagapError) as error:
+            # How long a watch has been cut is not known.
+            self._note_served(False, time.monotonic() if wait_s else started_s)
             path = target.partition("?")[0]
             raise self._unreachable(f"{method.decode()} {path}: {error!r}") from None
+        self._note_served(response.status not in _BUSY_STATUSES, started_s)
+        return response
+
+    def _note_served(self, is_served: bool, started_s: float) -> None:
+        if is_served:
+            self.lost_since_s = None
+        elif self.lost_since_s is None:
+            self.lost_since_s = started_s
 
     async def _exchange(self, request: HttpRequest) -> HttpResponse:
         connection = await self._take_connection()
--- a/guavagap/rollout_books.py
+++ b/guavagap/rollout_books.py
@@ -39,10 +39,19 @@
     policy: Policy
     cold_requests: int
 
+    @property
+    def is_store_lost(self) -> bool:
+        """Whether decisions cannot be written from this node for some time."""
+        return False
+
     @abstractmethod
     def open_rollouts(self) -> dict[str, Rollout]:
         """Return the rollouts without a verdict, by service."""
 
+    def pending_services(self) -> list[str]:
+        """Return the services whose rollouts were ordered and have not begun."""
+        return []
+
     async def start_pending(self, is_evaluator: Callable[[str], bool]) -> None:
         """Begin rollouts that were ordered and that this node evaluates."""
 
@@ -120,6 +129,15 @@
         self._store = store
         self._encode_status = encode_status
 
+    @property
+    def is_store_lost(self):
+        return self._store.is_lost
+
+    def pending_services(self):
+        return [
+            name for name in self._node.configuration.orders if self._is_pending(name)
+        ]
+
     def open_rollouts(self):
         configuration = self._node.configuration
         return {
@@ -136,10 +154,9 @@
         return record is None or record.order_revision < order[0]
 
     async def start_pending(self, is_evaluator):
-        configuration = self._node.configuration
-        for service, (revision, order) in list(configuration.orders.items()):
-            if self._is_pending(service) and is_evaluator(service):
-                await self._start(service, revision, order)
+        for service in self.pending_services():
+            if is_evaluator(service):
+                await self._start(service, *self._node.configuration.orders[service])
 
     async def _start(self, service: str, revision: int, order: RolloutOrder) -> None:
         held = self._node.configuration.records.get(service)
--- a/guavagap/schemas/mesh.capnp
+++ b/guavagap/schemas/mesh.capnp
@@ -27,6 +27,7 @@
   adminAddress @7 :Text;
   isRelay @8 :Bool;
   backendServers @9 :List(BackendServer);
+  isStoreLost @10 :Bool;
 }
 
 struct Notice { service @0 :Text; version @1 :Text; reason @2 :Text; }
--- a/tests/operator_cases.py
+++ b/tests/operator_cases.py
@@ -18,10 +18,14 @@
 class OperatorTestCase(testtools.TestCase):
     """A mesh with one backend server beside each node."""
 
+    node_options: dict[str, str] = {}
+
     def start(self, layout=LAYOUT, services=None, routes=CALLS, **upstream_options):
         folder = tempfile.TemporaryDirectory(prefix="guavagap-test-")
         self.addCleanup(folder.cleanup)
-        context = open_operator_fleet(Path(folder.name), drain_timeout_s=str(GRACE_S))
+        context = open_operator_fleet(
+            Path(folder.name), drain_timeout_s=str(GRACE_S), **self.node_options
+        )
         fleet = context.__enter__()
         self.addCleanup(context.__exit__, None, None, None)
         fleet.configure(7, routes)
--- a/tests/test_operator_rollouts.py
+++ b/tests/test_operator_rollouts.py
@@ -11,6 +11,8 @@
 
 
 class RolloutTests(OperatorTestCase):
+    node_options = {"allow_fault_injection": ""}
+
     def load(self, fleet, stopping: threading.Event) -> list[threading.Thread]:
         def call(node_id: str, worker: int) -> None:
             number = 0
@@ -28,8 +30,11 @@
             thread.start()
         return threads
 
-    def roll_out(self, duration_s: float, **knobs):
-        """Order a version beside the old one; return the fleet when it is decided."""
+    def roll_out(self, duration_s: float, after_begin=None, **knobs):
+        """Order a version beside the old one; return the fleet when it is decided.
+
+        ``after_begin`` is called with the fleet when the rollout has begun.
+        """
         fleet = self.start()
         new = {"c1": "za", "c2": "za", "d1": "zb", "d2": "zb"}
         for node_id, zone in new.items():
@@ -43,6 +48,8 @@
         threads = self.load(fleet, stopping)
         fleet.order_rollout("shop", "v2", duration_s)
         try:
+            if after_begin is not None:
+                after_begin(fleet)
             wait_until(
                 lambda: fleet.rollout_state("shop") in ("completed", "rolled_back"),
                 duration_s,
@@ -58,6 +65,22 @@
         fleet = self.roll_out(14.0)
         self.assertEqual("completed", fleet.rollout_state("shop"))
 
+    def test_good_version_is_completed_though_its_evaluator_loses_the_store(self):
+        cut_off = []
+
+        def cut_off_evaluator(fleet):
+            def find():
+                for node_id, node in fleet.nodes.items():
+                    if 'event="rollout begun"' in node.log_path.read_text():
+                        return node_id
+                return None
+
+            cut_off.append(wait_until(find, what="rollout begun"))
+            fleet.block(cut_off[0], [], platform=True)
+
+        fleet = self.roll_out(14.0, cut_off_evaluator)
+        self.assertEqual("completed", fleet.rollout_state("shop"))
+
     def test_failing_version_is_rolled_back_with_little_exposure(self):
         fleet = self.roll_out(14.0, fail_share=0.5)
         self.assertEqual("rolled_back", fleet.rollout_state("shop"))
