Measure runs at the backend server, without the wait for a slot, as evidence

Cause: the evidence on versions counted the whole time of an attempt, so requests that waited for a slot looked slow. A new version starts with few slots and gets more traffic by steps; waiting there says nothing of its speed.

Ruled out: leaving waiting requests out (a version that holds its slots for long would be judged on fewer).

Change: the node beside the backend server measures from the request's last bytes to the answer and sends that with the answer. The means that routing uses take the same figure.

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -364,7 +364,7 @@
             raise
         finally:
             health.in_flight -= 1
-        self.outcomes.note_answer(exchange, target, answer, started_s)
+        self.outcomes.note_answer(exchange, target, answer)
 
     async def _send(
         self, exchange: Exchange, target: Target, attempt: Attempt, judge
--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -112,6 +112,7 @@
         self._server_id = server_id
         self._dialect = dialect
         self._head: h11.Request | None = None
+        self._sent_at_s = 0.0
 
     async def send_request(self, request: ForwardedRequest, chunks, is_complete):
         timeout_ms = int((request.deadline_s - time.monotonic()) * 1000)
@@ -144,6 +145,7 @@
         except h11.LocalProtocolError as error:
             raise GuavagapError(ErrorKind.BAD_REQUEST, str(error)) from None
         self.is_written = True
+        self._sent_at_s = time.monotonic()
         try:
             await self._connection.sock.sendall(data)
         except OSError as error:
@@ -174,7 +176,12 @@
         chunks, is_complete = self._split(self._buffered_events())
         headers = end_to_end_headers(headers)
         return AnswerHead(
-            event.status_code, headers, chunks, is_complete, is_chunked=is_chunked
+            event.status_code,
+            headers,
+            chunks,
+            is_complete,
+            is_chunked=is_chunked,
+            run_s=time.monotonic() - self._sent_at_s,
         )
 
     async def _read_response(self) -> h11.Response:
--- a/guavagap/backend_front.py
+++ b/guavagap/backend_front.py
@@ -134,19 +134,19 @@
     ) -> AnswerHead:
         """Pass a request and its answer on, and learn how the run went."""
         started_s = time.monotonic()
-        answered_s: list[float] = []
+        is_answered = False
 
         def note_answer(answer: AnswerHead) -> None:
-            time_s = time.monotonic() - started_s
-            answered_s.append(time_s)
-            self._learn(request, answer.status >= FAILURE_STATUS, time_s)
+            nonlocal is_answered
+            is_answered = True
+            self._learn(request, answer.status >= FAILURE_STATUS, answer.run_s)
             if judge is not None:
                 judge(answer)
 
         try:
             return await relay_exchange(request, downstream, upstream, note_answer)
         except GuavagapError as error:
-            if not answered_s and error.kind in _FAILURE_KINDS:
+            if not is_answered and error.kind in _FAILURE_KINDS:
                 self._learn(request, True, time.monotonic() - started_s)
             if error.kind in _LOST_KINDS and not await self._is_listening():
                 raise GuavagapError(
--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -66,6 +66,8 @@
         condition: of the backend server, as its node sees it; None when the
             answer did not pass that node.
         is_chunked: whether the body came in chunks, as endless ones do.
+        run_s: time from the request's last bytes to the answer at the backend server,
+            without any wait for a slot.
     """
 
     status: int
@@ -74,6 +76,7 @@
     is_complete: bool
     condition: Condition | None = None
     is_chunked: bool = False
+    run_s: float = 0.0
 
 
 class Attempt:
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -135,6 +135,7 @@
             message.is_complete,
             message.condition,
             message.is_chunked,
+            message.run_ms / 1000,
         )
 
     async def read_chunks(self):
@@ -218,6 +219,7 @@
                 is_whole,
                 self._read_condition(),
                 answer.is_chunked,
+                _to_ms(answer.run_s),
             )
         )
         if len(body) > len(first):
--- a/guavagap/messages.py
+++ b/guavagap/messages.py
@@ -252,6 +252,7 @@
 
     Attributes:
         condition: of the backend server.
+        run_ms: time that the backend server took.
     """
 
     stream_id: int
@@ -261,6 +262,7 @@
     is_complete: bool
     condition: Condition = UNKNOWN_CONDITION
     is_chunked: bool = False
+    run_ms: int = 0
 
 
 class PermitDemand(NamedTuple):
--- a/guavagap/outcomes.py
+++ b/guavagap/outcomes.py
@@ -55,7 +55,7 @@
         return self._answer_bytes.get(route.name, 0.0)
 
     def note_answer(
-        self, exchange: Exchange, target: Target, answer: AnswerHead, started_s: float
+        self, exchange: Exchange, target: Target, answer: AnswerHead
     ) -> None:
         """Take an answer of a backend server."""
         now_s = time.monotonic()
@@ -75,7 +75,8 @@
             self._note_size(exchange.route.name, sum(map(len, answer.chunks)))
         if exchange.fingerprint:
             self._node.poison.note_success(exchange.fingerprint)
-        self._record(exchange, target, is_failure, now_s - started_s)
+        # A wait for a slot says how many slots there are, not how fast they work.
+        self._record(exchange, target, is_failure, answer.run_s)
 
     def _note_size(self, route_name: str, size_bytes: int) -> None:
         """Keep a running mean of the size of a route's answers."""
--- a/guavagap/schemas/mesh.capnp
+++ b/guavagap/schemas/mesh.capnp
@@ -80,6 +80,7 @@
   isComplete @4 :Bool;
   condition @5 :Condition;
   isChunked @6 :Bool;
+  runMs @7 :UInt32;
 }
 
 struct PermitDemand { serverId @0 :Text; wanted @1 :UInt16; held @2 :UInt16; }
--- a/tests/test_backend_front.py
+++ b/tests/test_backend_front.py
@@ -1,4 +1,4 @@
-"""Tests of what the front of a backend server makes of a lost connection."""
+"""Tests of the front of a backend server: lost connections and time of runs."""
 
 import time
 
@@ -13,10 +13,11 @@
 
 # Within what a process that ends takes to close its sockets.
 LISTENER_OUTLIVES_S = 0.01
+SLOT_TAKEN_S = 0.1
 
 
-class _NoDownstream(Downstream):
-    """A request without a body whose answer nobody reads."""
+class _Downstream(Downstream):
+    """A request without a body; its answer is dropped."""
 
     chunks: list[bytes] = []
     is_body_complete = True
@@ -26,10 +27,14 @@
         return None
 
     async def send_answer(self, answer):
-        raise AssertionError("no answer was sent")
+        self.is_answer_started = True
 
     async def send_chunks(self, chunks, is_complete):
-        raise AssertionError("no answer was sent")
+        raise AssertionError("the answer has no body")
+
+
+def make_server(address: str, slots: int) -> BackendServer:
+    return BackendServer("i1", "shop", "v1", "", address, slots, 10)
 
 
 def make_request() -> ForwardedRequest:
@@ -61,20 +66,13 @@
             await client.recv(1000)
             await serve(listener, client)
 
-        server = BackendServer(
-            server_id="i1",
-            service="shop",
-            address=f"{ip}:{port}",
-            version="v1",
-            pool="",
-            slots=4,
-            connections=10,
-        )
         task = await curio.spawn(accept_one, daemon=True)
-        front = BackendFront(server, 1.0)
+        front = BackendFront(make_server(f"{ip}:{port}", slots=4), 1.0)
+        downstream = _Downstream()
         try:
-            await front.run(make_request(), _NoDownstream(), Attempt())
+            await front.run(make_request(), downstream, Attempt())
         finally:
+            self.assertFalse(downstream.is_answer_started)
             await task.cancel()
             await front.connections.close_idle()
             await listener.close()
@@ -100,3 +98,39 @@
             await self.assert_kind(ErrorKind.BACKEND_SERVER_LOST, self.run_on(lose))
 
         self.run_async(case)
+
+
+class RunTimeTests(AsyncTestCase):
+    def test_wait_for_a_slot_is_no_part_of_the_time_of_a_run(self):
+        self.run_async(self.run_two_in_one_slot)
+
+    async def run_two_in_one_slot(self):
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(10)
+        ip, port = listener.getsockname()
+        may_answer = curio.Event()
+
+        async def serve():
+            client, _ = await listener.accept()
+            async with client:
+                while await client.recv(1000):
+                    await may_answer.wait()
+                    await client.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+        server = await curio.spawn(serve, daemon=True)
+        front = BackendFront(make_server(f"{ip}:{port}", slots=1), 1.0)
+        first = await curio.spawn(front.run, make_request(), _Downstream(), Attempt())
+        while not front.admission.in_flight:
+            await curio.sleep(0)
+        started_s = time.monotonic()
+        second = await curio.spawn(front.run, make_request(), _Downstream(), Attempt())
+        await curio.sleep(SLOT_TAKEN_S)
+        await may_answer.set()
+        await first.join()
+        answer = await second.join()
+        waited_s = time.monotonic() - started_s - answer.run_s
+        await server.cancel()
+        await front.connections.close_idle()
+        await listener.close()
+        self.assertGreaterEqual(waited_s, SLOT_TAKEN_S)
