Judge slowness by one failure domain's evidence with the spread of sound servers

Cause: a collector compares versions by the callers of its own failure domain, who use the backend servers near them.

Change: a collector counts a request as slow only beyond three times what nine tenths of the old version's requests needed. Failures are judged as before, and the evaluator judges the sum of all domains as before.

--- a/guavagap/evaluator.py
+++ b/guavagap/evaluator.py
@@ -143,7 +143,7 @@
         self._keep_windows(self._own_windows, open_rollouts, rows)
         for service, rollout in open_rollouts.items():
             windows = self._own_windows[service].windows()
-            finding = find_fault(self._book.policy, windows)
+            finding = find_fault(self._book.policy, windows, is_of_one_domain=True)
             if finding is not None:
                 await self._give_notice(service, rollout, finding.reason)
             own_rows = tuple(row for row in rows if row.service == service)
--- a/guavagap/rollouts.py
+++ b/guavagap/rollouts.py
@@ -35,6 +35,9 @@
 # One step of a quarter; more would hide versions five times slower, less blames good
 # ones on the slowest of servers that differ by a factor of three (FindFaultTests).
 SLOWEST_SERVER_BUCKETS = 1
+# Five steps of a quarter, a factor of three: by so much sound servers of one service
+# differ, and one failure domain may have the fast ones of one version only.
+ONE_DOMAIN_BUCKETS = 5
 WORST_SERVER_FALSE_ALARM = 0.05
 
 
@@ -133,7 +136,7 @@
     return sum_of(v for key, v in by_server.items() if key != worst)
 
 
-def _slow_bucket(evidence: RouteEvidence) -> int:
+def _slow_bucket(evidence: RouteEvidence, is_of_one_domain: bool) -> int:
     """Return the first latency bucket that counts as slow.
 
     The slowest backend server of the old version sets it where there is one that
@@ -141,6 +144,8 @@
     slow ones. It sets it within a limit, since that server may have a fault.
     """
     usual = _bucket_beyond(evidence.history)
+    if is_of_one_domain:
+        return usual + ONE_DOMAIN_BUCKETS
     slowest = max(
         (
             _bucket_beyond(counts)
@@ -214,7 +219,9 @@
     return count_of(new) / new.requests > policy.failing_ratio * old_share
 
 
-def _find_in_route(policy: Policy, evidence: RouteEvidence) -> Finding | None:
+def _find_in_route(
+    policy: Policy, evidence: RouteEvidence, is_of_one_domain: bool
+) -> Finding | None:
     old = evidence.history
     if _is_excess(policy, evidence, evidence.new_by_server, lambda s: s.failures):
         new = sum_of(evidence.new_by_server.values())
@@ -223,7 +230,7 @@
             f"route {evidence.route}: {new.failures} of {new.requests} requests"
             f" failed, against {old.failures} of {old.requests}",
         )
-    bucket = _slow_bucket(evidence)
+    bucket = _slow_bucket(evidence, is_of_one_domain)
 
     def count_slow(counts: EvidenceSum) -> int:
         return sum(counts.latency_buckets[bucket:])
@@ -238,11 +245,22 @@
     return None
 
 
-def find_fault(policy: Policy, windows: list[list[RouteEvidence]]) -> Finding | None:
-    """Return why a version is bad, None while the evidence does not say so."""
+def find_fault(
+    policy: Policy,
+    windows: list[list[RouteEvidence]],
+    is_of_one_domain: bool = False,
+) -> Finding | None:
+    """Return why a version is bad, None while the evidence does not say so.
+
+    Args:
+        policy: the policy.
+        windows: the evidence.
+        is_of_one_domain: whether it comes from the callers of one failure domain,
+            who use the backend servers near them.
+    """
     for window in windows:
         for evidence in window:
-            finding = _find_in_route(policy, evidence)
+            finding = _find_in_route(policy, evidence, is_of_one_domain)
             if finding is not None:
                 return finding
     return None
