Let configuration pass over members that are gone, and keep it in its failure domain

Ruled out: the store and the feeders (pushes left within 10 ms), the time to apply.

Change: a push that fails goes on to those whom that member would have told, one step deep; an epoch shown by an unknown node waits for the next datagram; a fetch that fails goes to others; rumours stay in the failure domain; a change of another failure domain is left to the own feeders for half a second; rows of exchanged tables are not told on; changes within a tenth of a second cost a feeder one watch.

--- a/guavagap/dissemination.py
+++ b/guavagap/dissemination.py
@@ -3,7 +3,8 @@
 A relay pushes each delta down a fan-out tree over its failure domain. What a
 push misses is noticed by the epoch on membership datagrams and fetched from the
 node that has it. A node that learns an epoch by fetching it passes it on to a
-few random members, so one contact brings a failure domain up to date.
+few random members of its failure domain, so one contact brings that up to date.
+Between failure domains nothing is moved while a domain's own relay is heard.
 """
 
 import random
@@ -24,13 +25,17 @@
 from guavagap.rendezvous import rendezvous_order
 from guavagap.tasks import TaskScope
 
-__all__ = ["Disseminator", "push_children"]
+__all__ = ["FED_TIMEOUT_S", "Disseminator", "push_children"]
 
 log = get_logger()
 
 FAN_OUT = 4
 RUMOUR_FAN_OUT = 2
 PUSH_TIMEOUT_S = 2.0
+# A relay that is heard at least this often passes on what other failure domains have.
+FED_TIMEOUT_S = 1.1
+# Relays of different failure domains learn of a change within tenths of a second.
+OWN_RELAY_GRACE_S = 0.5
 MAX_DELTA_BYTES = 32 * 1024 * 1024
 LARGE_DELTA_BYTES = 65_536
 MAX_LARGE_DELTAS_SERVED = 2
@@ -90,6 +95,7 @@
         self._links = links
         self._scope = scope
         self._is_fetching = False
+        self._is_waiting = False
         self._large_served = 0
 
     async def on_epoch_seen(self, node_id: str, epoch: int, head_digest: int) -> None:
@@ -98,9 +104,34 @@
         own_epoch = self._configuration.epoch
         if epoch == own_epoch and head_digest != self.short_digest():
             self._note_split(node_id, epoch)
-        if epoch > own_epoch and not self._is_fetching:
+        if epoch <= own_epoch or self._is_fetching:
+            return
+        if self._table.get(node_id) is None:
+            # It joins now, and its address is not known here yet; others follow.
+            return
+        if not self._is_fed() or self._is_near(node_id):
+            self._is_fetching = True
+            await self._scope.spawn(self._fetch, node_id, epoch)
+        elif not self._is_waiting:
+            self._is_waiting = True
+            await self._scope.spawn(self._fetch_if_late, node_id, epoch)
+
+    def _is_fed(self) -> bool:
+        return time.monotonic() - self.fed_at_s < FED_TIMEOUT_S
+
+    def _is_near(self, node_id: str) -> bool:
+        row = self._table.get(node_id)
+        return row is not None and row.failure_domain == self._table.own.failure_domain
+
+    async def _fetch_if_late(self, node_id: str, epoch: int) -> None:
+        """Fetch from another failure domain what the own relay has not brought."""
+        try:
+            await curio.sleep(OWN_RELAY_GRACE_S)
+        finally:
+            self._is_waiting = False
+        if epoch > self._configuration.epoch and not self._is_fetching:
             self._is_fetching = True
-            await self._scope.spawn(self._fetch, node_id)
+            await self._fetch(node_id, epoch)
 
     def short_digest(self) -> int:
         """Return the first 64 bits of the digest of the epoch applied."""
@@ -112,17 +143,21 @@
         self.split_epochs.add(epoch)
         log.error("epoch has two contents", epoch=epoch, other=node_id)
 
-    async def _fetch(self, node_id: str) -> None:
+    async def _fetch(self, node_id: str, epoch: int) -> None:
+        """Fetch an epoch from the node that showed it, or from others."""
         backoff = Backoff(FETCH_BACKOFF_FIRST_S, FETCH_BACKOFF_LIMIT_S)
         candidates = [node_id]
         try:
             for _ in range(MAX_FETCH_ATTEMPTS):
                 reply = await self._request_delta(random.choice(candidates))
-                if reply is not None and not reply.is_busy:
+                if reply is None:
+                    candidates = self._rumour_targets() or candidates
+                elif reply.is_busy:
+                    candidates = [node_id, *reply.redirect_ids]
+                else:
                     await self._take_reply(reply)
+                if self._configuration.epoch >= epoch:
                     return
-                if reply is not None:
-                    candidates = [node_id, *reply.redirect_ids]
                 await curio.sleep(backoff.next_s())
         finally:
             self._is_fetching = False
@@ -141,9 +176,15 @@
         if not self._configuration.apply(delta):
             return
         self.counts["fetched"] += 1
-        members = [row.node_id for row in self._table.others(MemberState.ALIVE)]
-        targets = random.sample(members, min(RUMOUR_FAN_OUT, len(members)))
-        await self._push_to(targets, delta, root_id="")
+        await self._push_to(self._rumour_targets(), delta, root_id="")
+
+    def _rumour_targets(self) -> list[str]:
+        members = [
+            row.node_id
+            for row in self._table.others(MemberState.ALIVE)
+            if row.failure_domain == self._table.own.failure_domain
+        ]
+        return random.sample(members, min(RUMOUR_FAN_OUT, len(members)))
 
     async def push_from_here(self, delta: Delta) -> None:
         """Push a delta that this node has just applied, as the root."""
@@ -166,11 +207,14 @@
         if message.epoch > self._configuration.epoch:
             await self.on_epoch_seen(sender_id, message.epoch, 0)
 
-    def _children(self, root_id: str, epoch: int) -> list[str]:
+    def _children(
+        self, root_id: str, epoch: int, parent_id: str | None = None
+    ) -> list[str]:
+        """Return whom a node, this one by default, passes a push on to."""
         own = self._table.own
         members = self._table.alive_in_domain(own.failure_domain)
         member_ids = [row.node_id for row in members]
-        return push_children(root_id, own.node_id, epoch, member_ids)
+        return push_children(root_id, parent_id or own.node_id, epoch, member_ids)
 
     async def _push_to(self, node_ids: list[str], delta: Delta, root_id: str) -> None:
         raw = self._configuration.encode_delta(delta)
@@ -181,14 +225,23 @@
         for node_id in node_ids:
             await self._scope.spawn(self._push_one, node_id, message)
 
-    async def _push_one(self, node_id: str, message: DeltaPush) -> None:
+    async def _push_one(
+        self, node_id: str, message: DeltaPush, is_for_another: bool = False
+    ) -> None:
         try:
             async with curio.timeout_after(PUSH_TIMEOUT_S):
                 link = await self._links.get(node_id)
                 await link.send(message)
+            return
         except (GuavagapError, curio.TaskTimeout) as error:
             self.counts["push_failed"] += 1
             log.info("push failed", peer=node_id, why=repr(error))
+        if not message.root_id or is_for_another:
+            return
+        # Those whom it would have told hear it from here. This goes one step only,
+        # or a node that is cut off would dial its whole failure domain.
+        for child_id in self._children(message.root_id, message.epoch, node_id):
+            await self._scope.spawn(self._push_one, child_id, message, True)
 
     async def on_push(self, sender_id: str, message: DeltaPush) -> None:
         """Apply a pushed delta and pass it on."""
@@ -212,8 +265,7 @@
         if message.root_id:
             targets = self._children(message.root_id, delta.epoch)
         else:
-            members = [row.node_id for row in self._table.others(MemberState.ALIVE)]
-            targets = random.sample(members, min(RUMOUR_FAN_OUT, len(members)))
+            targets = self._rumour_targets()
         for node_id in targets:
             await self._scope.spawn(self._push_one, node_id, message)
 
--- a/guavagap/feed.py
+++ b/guavagap/feed.py
@@ -13,7 +13,7 @@
 
 from guavagap.backoff import Backoff
 from guavagap.declared_configuration import DeclaredConfiguration
-from guavagap.dissemination import Disseminator
+from guavagap.dissemination import FED_TIMEOUT_S, Disseminator
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.logs import get_logger
 from guavagap.members import MemberTable
@@ -30,11 +30,13 @@
 # A change is to be in force within 2 s everywhere: a member that misses its
 # feeders has to notice, ask the store and apply the answer in that time.
 BEACON_INTERVAL_S = 0.4
-FED_TIMEOUT_S = 1.1
 IDLE_CHECK_S = 0.1
 # A connection that went silent is noticed at the end of the wait.
 WATCH_WAIT_S = 2.5
 WATCH_ANSWER_TIMEOUT_S = 1.0
+# Changes that follow each other within this time cost one watch instead of many; each
+# watch is paid for, and a change has seconds to be in force.
+WATCH_PAUSE_S = 0.1
 CONFIRMED_FOR_S = WATCH_WAIT_S + WATCH_ANSWER_TIMEOUT_S
 BACKOFF_FIRST_S = 0.2
 BACKOFF_LIMIT_S = 1.5
@@ -140,6 +142,8 @@
         self._note_confirmed(listing)
         self._on_listing(listing)
         await self._mirror(listing)
+        if listing.items:
+            await curio.sleep(WATCH_PAUSE_S)
 
     def _note_confirmed(self, listing: Listing) -> None:
         self._after = listing.as_of
--- a/guavagap/members.py
+++ b/guavagap/members.py
@@ -110,8 +110,14 @@
         """Return the alive rows of one failure domain."""
         return [row for row in self.alive() if row.failure_domain == failure_domain]
 
-    def merge(self, candidate: Member) -> bool:
-        """Take a row if it is newer; return whether the table changed."""
+    def merge(self, candidate: Member, is_news: bool = True) -> bool:
+        """Take a row if it is newer; return whether the table changed.
+
+        Args:
+            candidate: the row.
+            is_news: whether to tell it to others; rows of another node's whole
+                table are known to those who compare tables anyway.
+        """
         if candidate.node_id == self.own.node_id:
             return self._refute(candidate)
         held = self._rows.get(candidate.node_id)
@@ -120,6 +126,8 @@
         if held is None and candidate.state in (MemberState.DEAD, MemberState.LEFT):
             return False
         self._store(candidate)
+        if not is_news:
+            del self._transmissions_left[candidate.node_id]
         return True
 
     def _refute(self, candidate: Member) -> bool:
--- a/guavagap/membership.py
+++ b/guavagap/membership.py
@@ -124,10 +124,10 @@
         if self.table.set_domain_reachable(row.failure_domain, True):
             log.info("failure domain reachable", failure_domain=row.failure_domain)
 
-    def merge(self, row: Member) -> bool:
-        """Take a row and log a change of state."""
+    def merge(self, row: Member, is_news: bool = True) -> bool:
+        """Take a row and log a change of state; see :meth:`MemberTable.merge`."""
         held = self.table.get(row.node_id)
-        if not self.table.merge(row):
+        if not self.table.merge(row, is_news):
             return False
         if held is None or held.state != row.state:
             state = MemberState(self.table.get(row.node_id).state).name.lower()
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -181,7 +181,7 @@
             return
         known_count = len(self.table)
         for row in reply.members:
-            self.membership.merge(row)
+            self.membership.merge(row, is_news=False)
         if len(self.table) > known_count:
             self._next_sync_s = time.monotonic() + SYNC_SOON_S
         self.is_synchronised = True
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -102,6 +102,14 @@
             told += len(table.take_news(4))
         self.assertTrue(told <= 51 * 10, told)
 
+    def test_rows_of_a_table_exchange_are_not_told_on(self):
+        table = self.make()
+        table.take_news(1)
+        self.assertTrue(table.merge(make_member("n1"), is_news=False))
+        table.merge(make_member("n2"))
+        while table.has_news():
+            self.assertNotIn("n1", [row.node_id for row in table.take_news(4)])
+
 
 class FanOutTests(testtools.TestCase):
     @given(strategies.integers(1, 200), strategies.integers(1, 50))
