Split the messages of forwarded requests and the key-value port off two long modules

The classes of streams move to stream_messages.py, the product's key-value port on the store's client to platform/key_value.py. Moves and imports only; the codec collects both modules.

Ruled out: a package with a module for each message (the field types of one struct stand in another).

--- a/bench/control.py
+++ b/bench/control.py
@@ -13,7 +13,7 @@
 from guavagap.addresses import Address
 from guavagap.commits import apply_documents
 from guavagap.documents import parse_document
-from guavagap.platform.store import open_key_value_store
+from guavagap.platform.key_value import open_key_value_store
 from standins.fleet import Fleet, open_fleet
 
 __all__ = ["run"]
--- a/guavagap/backend_front.py
+++ b/guavagap/backend_front.py
@@ -18,7 +18,8 @@
     relay_exchange,
 )
 from guavagap.limits import Admission, PermitLedger, direct_connection_limit
-from guavagap.messages import BackendServer, Condition
+from guavagap.messages import BackendServer
+from guavagap.stream_messages import Condition
 
 __all__ = ["BackendFront"]
 
--- a/guavagap/cli.py
+++ b/guavagap/cli.py
@@ -23,7 +23,7 @@
     answer_for,
 )
 from guavagap.logs import configure_command_logs
-from guavagap.platform.store import open_key_value_store
+from guavagap.platform.key_value import open_key_value_store
 from guavagap.request_trace import describe_trace, read_log, trace_request
 from guavagap.settings import parse_platform_url
 
--- a/guavagap/codec.py
+++ b/guavagap/codec.py
@@ -10,7 +10,7 @@
 
 import capnp
 
-from guavagap import messages
+from guavagap import messages, stream_messages
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.messages import Datagram
 
@@ -49,7 +49,7 @@
 
 _CLASSES = {
     name: value
-    for name, value in vars(messages).items()
+    for name, value in (vars(messages) | vars(stream_messages)).items()
     if isinstance(value, type) and hasattr(value, "_fields")
 }
 _FIELDS = {
--- a/guavagap/deployments.py
+++ b/guavagap/deployments.py
@@ -6,7 +6,7 @@
 from guavagap.faults import BlockedAddresses
 from guavagap.operator_deployment import OperatorDeployment, learn_mesh_key
 from guavagap.platform.adapter import open_adapter
-from guavagap.platform.store import open_key_value_store
+from guavagap.platform.key_value import open_key_value_store
 from guavagap.settings import OPERATOR_DEPLOYMENT, Settings
 
 __all__ = ["open_deployment"]
--- a/guavagap/directory.py
+++ b/guavagap/directory.py
@@ -8,7 +8,8 @@
 from typing import NamedTuple
 
 from guavagap.members import MemberTable
-from guavagap.messages import BackendServer, Condition, MemberState
+from guavagap.messages import BackendServer, MemberState
+from guavagap.stream_messages import Condition
 
 __all__ = ["Directory", "ServerHealth", "Target"]
 
--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -14,7 +14,7 @@
 import curio
 
 from guavagap.errors import ErrorKind, GuavagapError
-from guavagap.messages import Condition
+from guavagap.stream_messages import Condition
 
 __all__ = [
     "AnswerHead",
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -8,7 +8,7 @@
 from guavagap.directory import ServerHealth
 from guavagap.errors import ErrorKind, GuavagapError, answer_for
 from guavagap.exchange import AnswerHead, Downstream, ForwardedRequest, Upstream
-from guavagap.messages import (
+from guavagap.stream_messages import (
     NO_WAIT_LIMIT,
     Condition,
     Header,
--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -9,8 +9,6 @@
 from guavagap.forwarding import StreamDownstream, request_from_open_stream
 from guavagap.logs import get_logger
 from guavagap.messages import (
-    UNKNOWN_CONDITION,
-    Condition,
     DeltaPush,
     DeltaRequest,
     EvidenceReport,
@@ -20,11 +18,15 @@
     MembersRequest,
     NoticesReply,
     NoticesRequest,
-    OpenStream,
     PermitGrant,
     PermitReply,
     PermitRequest,
     PermitRevoke,
+)
+from guavagap.stream_messages import (
+    UNKNOWN_CONDITION,
+    Condition,
+    OpenStream,
     StreamReset,
 )
 from guavagap.streams import Stream
--- a/guavagap/idempotency.py
+++ b/guavagap/idempotency.py
@@ -18,7 +18,6 @@
 from guavagap.links import LinkPool
 from guavagap.members import MemberTable
 from guavagap.messages import (
-    Header,
     KeyClaim,
     KeyClaimReply,
     KeyLookup,
@@ -28,6 +27,7 @@
     MemberState,
 )
 from guavagap.rendezvous import rendezvous_order
+from guavagap.stream_messages import Header
 
 __all__ = ["KEY_LIFETIME_S", "KeyGuard", "WITNESSES", "choose_witnesses"]
 
--- a/guavagap/link.py
+++ b/guavagap/link.py
@@ -24,10 +24,9 @@
 from guavagap.addresses import Address
 from guavagap.codec import decode_frame, encode_frame
 from guavagap.errors import ErrorKind, GuavagapError
-from guavagap.messages import (
-    Hello,
+from guavagap.messages import Hello, Proof
+from guavagap.stream_messages import (
     OpenStream,
-    Proof,
     StreamAnswer,
     StreamCredit,
     StreamData,
--- /dev/null
+++ b/guavagap/platform/key_value.py
@@ -0,0 +1,92 @@
+"""The product's key-value port on the client of the platform's metadata store."""
+
+from contextlib import asynccontextmanager
+
+from guavagap.addresses import Address
+from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.faults import BlockedAddresses
+from guavagap.key_value import ABSENT, KeyValueStore, StoredValue, check_value_size
+from guavagap.metadata_store import NO_LEASE, StoreItem, Write
+from guavagap.platform.store import CALL_TIMEOUT_S, StoreClient, open_store_client
+
+__all__ = ["PlatformKeyValueStore", "open_key_value_store"]
+
+
+class PlatformKeyValueStore(KeyValueStore):
+    """The product's key-value port on the platform's store.
+
+    Args:
+        client: the client that makes the calls.
+    """
+
+    def __init__(self, client: StoreClient):
+        super().__init__()
+        self.client = client
+
+    async def get(self, key):
+        self.call_counts["get"] += 1
+        item, _ = await self._answered(self.client.get(key))
+        return _stored(item)
+
+    async def watch(self, key, revision, wait_s):
+        self.call_counts["watch"] += 1
+        item, as_of = await self._answered(self.client.get(key))
+        if _revision_of(item) != revision:
+            return _stored(item)
+        try:
+            await self._answered(self.client.watch_prefix(key, as_of, wait_s))
+        except GuavagapError as error:
+            if error.kind is not ErrorKind.HISTORY_LOST:
+                raise
+        item, _ = await self._answered(self.client.get(key))
+        return _stored(item)
+
+    async def put(self, key, body, expected, ttl_s=None):
+        self.call_counts["put"] += 1
+        check_value_size(key, body)
+        lease_id = NO_LEASE
+        if ttl_s is not None:
+            lease = await self._answered(self.client.grant_lease(ttl_s))
+            lease_id = lease.lease_id
+        return await self._write(key, expected, [Write(key, body, lease_id)], [])
+
+    async def delete(self, key, expected):
+        self.call_counts["delete"] += 1
+        await self._write(key, expected, [], [key])
+
+    async def _write(self, key, expected, writes, removed) -> str:
+        condition = {key: int(expected) if expected != ABSENT else 0}
+        outcome = await self._answered(self.client.transact(condition, writes, removed))
+        if outcome.revision is None:
+            raise GuavagapError(ErrorKind.CONFLICT, f"{key} was changed meanwhile")
+        return str(outcome.revision)
+
+    async def _answered(self, call):
+        """Await a call; the port has one kind for every failure to get an answer."""
+        try:
+            return await call
+        except GuavagapError as error:
+            if error.kind is ErrorKind.PLATFORM_BUSY:
+                raise GuavagapError(
+                    ErrorKind.PLATFORM_UNREACHABLE, error.detail
+                ) from None
+            raise
+
+
+def _revision_of(item: StoreItem | None) -> str:
+    return ABSENT if item is None else str(item.revision)
+
+
+def _stored(item: StoreItem | None) -> StoredValue | None:
+    return None if item is None else StoredValue(item.value, str(item.revision))
+
+
+@asynccontextmanager
+async def open_key_value_store(
+    address: Address,
+    call_timeout_s: float = CALL_TIMEOUT_S,
+    blocked: BlockedAddresses | None = None,
+):
+    """Yield a :class:`PlatformKeyValueStore`; its connections end with the block."""
+    async with open_store_client(address, call_timeout_s, blocked) as client:
+        yield PlatformKeyValueStore(client)
--- a/guavagap/streams.py
+++ b/guavagap/streams.py
@@ -7,7 +7,7 @@
 import curio
 
 from guavagap.errors import ErrorKind, GuavagapError
-from guavagap.messages import (
+from guavagap.stream_messages import (
     UNKNOWN_CONDITION,
     Condition,
     StreamAnswer,
--- a/tests/test_handlers.py
+++ b/tests/test_handlers.py
@@ -4,7 +4,7 @@
 
 from guavagap.handlers import handle_message
 from guavagap.link import MAX_STREAMS, Link
-from guavagap.messages import OpenStream, StreamReset
+from guavagap.stream_messages import OpenStream, StreamReset
 from tests.cases import AsyncTestCase
 
 
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -7,7 +7,7 @@
 from guavagap.addresses import Address
 from guavagap.errors import ErrorKind
 from guavagap.key_value import ABSENT, MAX_VALUE_BYTES, MemoryKeyValueStore, MemoryStore
-from guavagap.platform.store import open_key_value_store
+from guavagap.platform.key_value import open_key_value_store
 from standins.fleet import free_ports
 from standins.platform_server import open_platform_server
 from tests.cases import AsyncTestCase
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -12,16 +12,8 @@
 from guavagap.datagrams import ReplayWindow, open_datagram, seal
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.link import LinkIdentity, TrafficCounts, accept_link, dial_link
-from guavagap.messages import (
-    BackendServer,
-    Datagram,
-    DeltaReply,
-    DeltaRequest,
-    Member,
-    StreamAnswer,
-    StreamData,
-    StreamReset,
-)
+from guavagap.messages import BackendServer, Datagram, DeltaReply, DeltaRequest, Member
+from guavagap.stream_messages import StreamAnswer, StreamData, StreamReset
 from guavagap.tasks import open_task_scope
 from standins.fleet import free_ports
 from tests.cases import AsyncTestCase
