Let a node that starts while the store is away join by other nodes

Nodes that were started while it was away stood still until it returned, and their sound backend servers could not be reached.

Ruled out: a key derived from settings (nothing in them is secret or differs between meshes for good), keeping the key on the VM (nothing there outlives the process), asking neighbours (a starting node knows no address of another).

Change: nodes probe members, and, while the store serves them nothing, call at those that ended lately. A process without the key answers what it cannot read with a request, and gets the key if it stands at the address of a member. The store gives it to everybody, so nothing is given away; the key of deployments that have it from the environment is never given. The node is then ready with the configuration of a node whose member table it has compared. The key is first read by a stale read, which costs a tenth of a call.

Conclusion: done; a VM that is new to the mesh still waits, since nobody calls at it. Tests: a killed and a stopped node rejoin with the store away (never before the change); tests/test_key_transfer.py for who gets no key.

--- a/guavagap/deployment.py
+++ b/guavagap/deployment.py
@@ -22,6 +22,7 @@
         router_class: chooses targets.
         configuration: what is held and routed by.
         mesh_key_bytes: key of links and datagrams.
+        is_key_shared: whether nodes may give the key to members that ask for it.
         call_counts: calls of the platform by kind.
     """
 
@@ -31,6 +32,7 @@
     stop_notice_s: float
     router_class: type
     mesh_key_bytes: bytes
+    is_key_shared: bool = False
     call_counts: Counter[str]
 
     @abstractmethod
--- a/guavagap/deployments.py
+++ b/guavagap/deployments.py
@@ -21,8 +21,8 @@
     address = settings.platform_address
     if settings.deployment == OPERATOR_DEPLOYMENT:
         async with open_adapter(address, blocked) as adapter:
-            key_bytes = await learn_mesh_key(adapter.store)
-            yield OperatorDeployment(settings, adapter, key_bytes)
+            offer = await learn_mesh_key(adapter.store, settings.mesh_address)
+            yield OperatorDeployment(settings, adapter, offer)
         return
     async with open_key_value_store(address, blocked=blocked) as platform:
         yield DocumentsDeployment(settings, platform)
--- a/guavagap/members.py
+++ b/guavagap/members.py
@@ -102,6 +102,13 @@
             if row.state in states and row.node_id != own_id
         ]
 
+    def ended_within(self, duration_s: float) -> list[Member]:
+        """Return the members that have died or left within some time."""
+        since_s = self._clock() - duration_s
+        return [
+            self._rows[key] for key, at_s in self._ended_at.items() if at_s > since_s
+        ]
+
     def alive(self) -> list[Member]:
         """Return the rows that are alive, the own one included."""
         return [row for row in self._rows.values() if row.state == MemberState.ALIVE]
--- a/guavagap/membership.py
+++ b/guavagap/membership.py
@@ -18,13 +18,14 @@
 from guavagap.datagrams import ReplayWindow, open_datagram, seal
 from guavagap.errors import GuavagapError
 from guavagap.faults import BlockedAddresses
+from guavagap.key_transfer import KEY_REQUEST, encode_offer, is_offer
 from guavagap.logs import get_logger
 from guavagap.members import MemberTable
 from guavagap.messages import Datagram, DatagramKind, Member, MemberState, PoisonMark
 from guavagap.tasks import TaskScope
 from guavagap.tcp import open_udp
 
-__all__ = ["DatagramHeader", "Membership"]
+__all__ = ["CROSS_DOMAIN_SHARE", "DatagramHeader", "Membership"]
 
 log = get_logger()
 
@@ -54,6 +55,8 @@
         take_marks: returns poison marks to pass on.
         on_datagram: coroutine function called with each valid datagram.
         blocked: injected faults.
+        is_key_shared: whether members may ask for the key; see
+            :mod:`guavagap.key_transfer`.
     """
 
     def __init__(
@@ -68,7 +71,9 @@
         take_marks: Callable[[int], tuple[PoisonMark, ...]],
         on_datagram,
         blocked: BlockedAddresses,
+        is_key_shared: bool,
     ):
+        self._is_key_shared = is_key_shared
         self._blocked = blocked
         self.table = table
         self.peer_addresses = peer_addresses
@@ -101,6 +106,12 @@
             await self._receive(packet, Address(*sender[:2]), scope)
 
     async def _receive(self, packet: bytes, sender: Address, scope) -> None:
+        if packet == KEY_REQUEST:
+            await self._offer_key(sender)
+            return
+        if is_offer(packet):
+            # Asked for at the start, before the store answered.
+            return
         try:
             datagram = open_datagram(self._key_bytes, packet)
         except GuavagapError as error:
@@ -116,6 +127,16 @@
         await self._answer(datagram, sender, scope)
         await self._on_datagram(datagram)
 
+    async def _offer_key(self, sender: Address) -> None:
+        """Give the key to a process at the address of a member."""
+        address = format_address(sender)
+        is_member = any(row.mesh_address == address for row in self.table.rows())
+        if not self._is_key_shared or not is_member:
+            log.warning("key not offered", to=address, is_member=is_member)
+            return
+        log.info("key offered", to=address)
+        await self._send_packet(encode_offer(self._key_bytes), sender)
+
     def _note_contact(self, sender_id: str) -> None:
         row = self.table.get(sender_id)
         if row is None:
@@ -187,7 +208,9 @@
             members_digest=self.table.digest,
             **self._header(),
         )
-        packet = seal(self._key_bytes, datagram)
+        await self._send_packet(seal(self._key_bytes, datagram), address)
+
+    async def _send_packet(self, packet: bytes, address: Address) -> None:
         if address in self._blocked:
             return
         self.counts["sent_bytes"] += len(packet)
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -130,6 +130,7 @@
             self.poison.take_marks,
             self._on_datagram,
             blocked,
+            deployment.is_key_shared,
         )
         self.relay = deployment.make_relay(self)
         self.keys = KeyGuard(self.table, self.links, time.monotonic)
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from guavagap.addresses import format_address, parse_address
+from guavagap.addresses import Address, format_address, parse_address
 from guavagap.backoff import Backoff
 from guavagap.declarations import Declaration, RolloutOrder
 from guavagap.declared_configuration import DeclaredConfiguration
@@ -21,7 +21,9 @@
 from guavagap.errors import GuavagapError
 from guavagap.feed import Feed
 from guavagap.head import Rollout
+from guavagap.key_transfer import KeyOffer, ask_for_key
 from guavagap.logs import get_logger
+from guavagap.membership import CROSS_DOMAIN_SHARE
 from guavagap.messages import DatagramKind, MemberState
 from guavagap.metadata_store import Lease, Listing, MetadataStore, MirrorItem, Write
 from guavagap.retries import RetryBudget
@@ -36,6 +38,11 @@
 
 MESH_KEY = "mesh/key"
 MESH_KEY_BYTES = 32
+# Stands for the node that gave the key among the entries of the store.
+GIVER_KEY = "giver"
+# A process that ends is started again within seconds.
+ENDED_LATELY_S = 30.0
+ENDED_CALLED = 2
 ENTRY_PREFIX = "mesh/node/"
 # An entry outlives a short outage of the store and lapses soon after its node.
 ENTRY_TTL_S = 12.0
@@ -59,6 +66,12 @@
 RETRY_SHARE_USED = 0.5
 
 
+class StoredKey(NamedTuple):
+    """The mesh's key as the store holds it."""
+
+    key_bytes: bytes
+
+
 class OperatorAdapter(NamedTuple):
     """What the adapter of a platform brings.
 
@@ -86,19 +99,20 @@
     Args:
         settings: the checked settings.
         adapter: speaks the platform's protocol.
-        mesh_key_bytes: key of links and datagrams.
+        key: key of links and datagrams, and the node that gave it, if one did.
     """
 
     is_forwarding_only = True
+    is_key_shared = True
     accept_after_stop_s = ACCEPT_AFTER_STOP_S
     stop_notice_s = STOP_NOTICE_S
     router_class = ForwardingRouter
 
     def __init__(
-        self, settings: Settings, adapter: OperatorAdapter, mesh_key_bytes: bytes
+        self, settings: Settings, adapter: OperatorAdapter, key: KeyOffer | StoredKey
     ):
         self.dialect = adapter.dialect
-        self.mesh_key_bytes = mesh_key_bytes
+        self.mesh_key_bytes = key.key_bytes
         self.configuration = DeclaredConfiguration(
             self._is_mirrored, adapter.decode_item
         )
@@ -107,6 +121,8 @@
         self._feed: Feed | None = None
         self._node = None
         self._entries: dict[str, bytes] = {}
+        if isinstance(key, KeyOffer):
+            self._entries[GIVER_KEY] = format_address(key.giver).encode()
         self._entry_revision = 0
         self._is_entry_lost = False
 
@@ -145,6 +161,9 @@
         waits for their table too, but not for long: they may all be gone.
         """
         while not (self._feed.is_listed and self.configuration.is_complete):
+            if self._is_learned_from_others(node):
+                log.warning("store lost, configuration of other nodes is taken")
+                return
             await curio.sleep(LEARN_STEP_S)
         await self._introduce()
         give_up_at_s = time.monotonic() + JOIN_TIMEOUT_S
@@ -154,11 +173,17 @@
                 return
             await curio.sleep(LEARN_STEP_S)
 
+    def _is_learned_from_others(self, node) -> bool:
+        """Return whether other nodes have told what the store cannot."""
+        is_told = node.is_synchronised and self.configuration.is_complete
+        return is_told and self._adapter.store.is_lost
+
     async def start(self, node):
         """Serve the platform's calls and keep this node's entry."""
         await node.scope.spawn_role(self._adapter.serve, node)
         await node.scope.spawn_role(self._keep_entry)
         await node.scope.spawn_role(self._introduce_forever)
+        await node.scope.spawn_role(self._call_ended_members)
 
     def _on_listing(self, listing: Listing) -> None:
         """Take note of other nodes' entries, and of the loss of the own one."""
@@ -184,6 +209,26 @@
             if self._entries and not self._node.table.others(MemberState.ALIVE):
                 await self._introduce()
 
+    async def _call_ended_members(self) -> None:
+        """Call at members that ended lately while the store cannot tell their return.
+
+        What runs there now needs a datagram to ask for the mesh's key.
+        """
+        while True:
+            await curio.sleep(INTRODUCE_INTERVAL_S)
+            if not self._adapter.store.is_lost:
+                continue
+            table = self._node.table
+            rows = table.ended_within(ENDED_LATELY_S)
+            for row in random.sample(rows, min(ENDED_CALLED, len(rows))):
+                is_far = row.failure_domain != table.own.failure_domain
+                if is_far and random.random() >= CROSS_DOMAIN_SHARE:
+                    continue
+                address = parse_address(row.mesh_address)
+                await self._node.membership.send(
+                    address, DatagramKind.PING, 0, (table.own,)
+                )
+
     async def _introduce(self) -> None:
         membership, table = self._node.membership, self._node.table
         count = min(MAX_INTRODUCTIONS, len(self._entries))
@@ -233,22 +278,37 @@
         return lease
 
 
-async def learn_mesh_key(store: MetadataStore) -> bytes:
+async def learn_mesh_key(
+    store: MetadataStore, mesh_address: Address
+) -> KeyOffer | StoredKey:
+    """Return the key of the mesh, from the store or from another node."""
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(_read_or_create_key, store)
+        await group.spawn(ask_for_key, mesh_address)
+    return group.result
+
+
+async def _read_or_create_key(store: MetadataStore) -> StoredKey:
     """Return the key of the mesh, creating it when there is none.
 
     A conditional write decides which of several creators wins; all of them read
     the winner's key. Waits while the store cannot be reached.
     """
     backoff = Backoff(KEY_BACKOFF_FIRST_S, KEY_BACKOFF_LIMIT_S)
+    # The key never changes, so an old copy of it will do, which costs a tenth.
+    is_stale_allowed = True
     while True:
         try:
-            item, _ = await store.get(MESH_KEY)
+            item, _ = await store.get(MESH_KEY, is_stale_allowed)
+            if item is None and is_stale_allowed:
+                is_stale_allowed = False
+                continue
             if item is not None:
-                return item.value
+                return StoredKey(item.value)
             key_bytes = os.urandom(MESH_KEY_BYTES)
             outcome = await store.transact({MESH_KEY: 0}, [Write(MESH_KEY, key_bytes)])
             if outcome.revision is not None:
-                return key_bytes
+                return StoredKey(key_bytes)
         except GuavagapError as error:
             log.warning("mesh key not learned", kind=error.kind.value, why=error.detail)
         await curio.sleep(backoff.next_s())
--- /dev/null
+++ b/tests/test_key_transfer.py
@@ -0,0 +1,66 @@
+"""Tests of how the mesh's key passes between nodes, and of where it does not."""
+
+import socket
+
+import curio
+
+from guavagap.addresses import Address
+from guavagap.key_transfer import KEY_REQUEST, ask_for_key, encode_offer, is_offer
+from standins.fleet import free_ports, wait_until
+from tests.cases import AsyncTestCase, FleetTestCase
+from tests.operator_cases import OperatorTestCase
+
+SILENCE_S = 0.5
+KEY = b"0123456789abcdef"
+
+
+def ask(from_port: int, to_port: int) -> bytes | None:
+    """Ask a node for its key; return its offer, None after some silence."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", from_port))
+        sock.settimeout(SILENCE_S)
+        sock.sendto(KEY_REQUEST, ("127.0.0.1", to_port))
+        try:
+            while True:
+                packet, _ = sock.recvfrom(2048)
+                if is_offer(packet):
+                    return packet
+        except TimeoutError:
+            return None
+
+
+class AskForKeyTests(AsyncTestCase):
+    def test_only_offers_that_were_asked_for_are_taken(self):
+        async def case():
+            own, peer = (Address("127.0.0.1", port) for port in free_ports(2))
+            asking = await curio.spawn(ask_for_key, own)
+            sock = curio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sock.bind(peer)
+            async with sock:
+                await curio.sleep(0.05)
+                await sock.sendto(encode_offer(b"forged"), own)
+                packet, _ = await sock.recvfrom(2048)
+                self.assertEqual(KEY_REQUEST, packet)
+                await sock.sendto(encode_offer(KEY), own)
+                offer = await asking.join()
+            self.assertEqual((KEY, peer), (offer.key_bytes, offer.giver))
+
+        self.run_async(case)
+
+
+class OperatorKeyTests(OperatorTestCase):
+    def test_members_get_the_key_and_strangers_do_not(self):
+        fleet = self.start(layout={"a1": "za", "a2": "za"})
+        own, peer = fleet.nodes["a1"], fleet.nodes["a2"]
+        (stranger_port,) = free_ports(1)
+        self.assertIsNone(ask(stranger_port, own.mesh_port))
+        fleet.kill(peer.process)
+        wait_until(lambda: ask(peer.mesh_port, own.mesh_port), what="the key")
+
+
+class EnvironmentKeyTests(FleetTestCase):
+    def test_key_of_the_environment_is_given_to_nobody(self):
+        fleet = self.start_mesh(self.open_fleet(), {"a1": "da", "a2": "da"})
+        own, peer = fleet.nodes["a1"], fleet.nodes["a2"]
+        fleet.kill(peer.process)
+        self.assertIsNone(ask(peer.mesh_port, own.mesh_port))
--- a/tests/test_operator_mesh.py
+++ b/tests/test_operator_mesh.py
@@ -9,7 +9,7 @@
 
 from standins.fleet import wait_until
 from standins.operator_fleet import RouteSpec
-from tests.operator_cases import LAYOUT, OperatorTestCase
+from tests.operator_cases import CALLS, LAYOUT, OperatorTestCase
 
 
 class PathTests(OperatorTestCase):
@@ -187,6 +187,21 @@
             **upstream_options,
         )
 
+    def test_node_that_starts_while_the_store_is_away_joins_by_other_nodes(self):
+        fleet = self.start()
+        fleet.configure(9, [*CALLS, RouteSpec("/new/", {"shop": 1})])
+        fleet.wait_serving("b1", "/new/x")
+        fleet.set_platform(is_down=True)
+        for end in (fleet.kill, lambda process: fleet.stop(process)):
+            end(fleet.nodes["a1"].process)
+            fleet.start_operator_node("a1", "za", "shop")
+            fleet.wait_ready("a1")
+            self.assertEqual(200, fleet.request("a1", "/new/x", "q").status)
+            wait_until(
+                lambda: len(fleet.status("b1")["pools"]["shop/main"]) == len(LAYOUT),
+                what="the backend server of the node that returned",
+            )
+
     def test_latency_histogram_is_served(self):
         fleet = self.start(layout={"a1": "za"})
         fleet.request("a1", "/shop/x", "q")
