Say "not run" when a link is lost before the body was asked for

Ruled out: a run without the body (the owner asks for it, and waits for its first part, before it writes anything to the backend server).

Change: the loss of the link before the body is LINK_UNREACHABLE. A refusal is still the answer that is read.

--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -108,11 +108,12 @@
             await stream.wait_credit()
         except GuavagapError as error:
             raise GuavagapError(ErrorKind.LINK_UNREACHABLE, error.detail) from None
-        if stream.reset is not None:
-            # The answer to be read next is that reset.
-            return
-        self.is_written = True
-        await stream.send_body(body, is_complete)
+        if stream.reset is None:
+            self.is_written = True
+            await stream.send_body(body, is_complete)
+        elif stream.reset.kind == ErrorKind.LINK_LOST.value:
+            raise GuavagapError(ErrorKind.LINK_UNREACHABLE, stream.reset.detail)
+        # Any other reset is the answer that is read next.
 
     async def send_body(self, chunk):
         await self._stream.send_body(chunk or b"", chunk is None)
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,95 @@
+"""Tests of requests that are forwarded over a link."""
+
+import time
+
+import curio
+
+from guavagap.directory import ServerHealth
+from guavagap.errors import ErrorKind
+from guavagap.exchange import ForwardedRequest
+from guavagap.forwarding import MAX_UNASKED_BODY_BYTES, StreamExchange
+from guavagap.link import Link
+from guavagap.stream_messages import (
+    OpenStream,
+    StreamCredit,
+    StreamData,
+    StreamReset,
+)
+from tests.cases import AsyncTestCase
+
+BODY = bytes(MAX_UNASKED_BODY_BYTES + 1)
+
+
+class _Channel:
+    """Keeps what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    async def send(self, message):
+        self.sent.append(message)
+
+
+def make_request() -> ForwardedRequest:
+    deadline_s = time.monotonic() + 2.0
+    return ForwardedRequest(b"POST", b"/x", [], len(BODY), True, False, deadline_s)
+
+
+class HeldBodyTests(AsyncTestCase):
+    def start(self):
+        """Return a channel, a stream and its exchange with a far node."""
+        channel = _Channel()
+        stream = Link(channel, "far").open_stream()
+        health = ServerHealth(0.0, True)
+        return channel, stream, StreamExchange(stream, "s1", health, is_far=True)
+
+    async def send(self, exchange):
+        """Start to send a request; return the task when its head is sent."""
+        task = await curio.spawn(exchange.send_request, make_request(), [BODY], True)
+        await curio.sleep(0)
+        return task
+
+    def test_body_follows_when_it_is_asked_for(self):
+        async def case():
+            channel, stream, exchange = self.start()
+            task = await self.send(exchange)
+            self.assertEqual([OpenStream], [type(item) for item in channel.sent])
+            self.assertFalse(exchange.is_written)
+            await stream.deliver(StreamCredit(stream.stream_id, len(BODY)))
+            await task.join()
+            self.assertTrue(exchange.is_written)
+            self.assertEqual(StreamData(stream.stream_id, BODY, True), channel.sent[1])
+
+        self.run_async(case)
+
+    def test_refusal_is_the_answer_to_a_body_that_was_not_asked_for(self):
+        async def case():
+            channel, stream, exchange = self.start()
+            task = await self.send(exchange)
+            await stream.deliver(
+                StreamReset(stream.stream_id, ErrorKind.SLOTS_TAKEN.value, "", True)
+            )
+            await task.join()
+            await self.assert_kind(ErrorKind.SLOTS_TAKEN, exchange.read_answer())
+            self.assertFalse(exchange.is_written)
+            self.assertEqual(1, len(channel.sent))
+
+        self.run_async(case)
+
+    def test_link_that_is_lost_before_the_body_leaves_the_request_not_run(self):
+        async def case():
+            _, stream, exchange = self.start()
+            task = await self.send(exchange)
+            await stream.end_with_link()
+            await self.assert_kind(ErrorKind.LINK_UNREACHABLE, joined(task))
+            self.assertFalse(exchange.is_written)
+
+        self.run_async(case)
+
+
+async def joined(task):
+    """Return a task's result or raise its error."""
+    try:
+        return await task.join()
+    except curio.TaskError as error:
+        raise error.__cause__ from None
