Let a test of refusals begin when its backend server is warm

Ruled out: the product (the requests were all answered 200 before the missing count was read).

Change: the test waits until that backend server has run a request before it refuses, so that it always tests what it says.

--- a/tests/test_operator_mesh.py
+++ b/tests/test_operator_mesh.py
@@ -98,6 +98,8 @@
 
     def test_backend_server_that_refuses_with_free_slots_is_left_alone(self):
         fleet = self.start()
+        # One that is found later than the others is left alone while it is cold.
+        wait_until(lambda: self.runs_after_request(fleet, "i-a1"), what="a run on i-a1")
         fleet.set_upstream("i-a1", refuse=True)
         for number in range(30):
             fleet.request("a1", "/pay/x", f"p{number}", "POST")
@@ -109,6 +111,11 @@
         self.assertEqual({200: 20}, dict(statuses))
         self.assertLess(refused, 25)
 
+    def runs_after_request(self, fleet, server_id: str) -> int:
+        """Make a request; return how many a backend server has run so far."""
+        fleet.request("a1", "/pay/x", "warm", "POST")
+        return sum(fleet.ledger(server_id)["runs"].values())
+
     def test_lost_answers_are_not_taken_for_crashes(self):
         fleet = self.start()
         for server_id in fleet.servers:
