--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -105,6 +105,14 @@
         ]
         self.assertEqual([], found)
 
+    def test_version_that_is_slow_at_times_is_found_by_one_domain(self):
+        missed = [
+            seed
+            for seed in range(40)
+            if self.blamed_at(seed, (1.0,), 0.5, old_speeds=(1.0,)) is None
+        ]
+        self.assertEqual([], missed)
+
     def test_version_that_is_always_slow_is_found_by_one_domain(self):
         missed = [
             seed
