Serve download routes, and routes of a kind that is not known

Ruled out: routing and forwarding; large bodies passed on the same code once the kind was read. Change: kinds are one closed type in the adapter with what each implies; download may be repeated. An unknown kind is served as one that must not run twice, with a warning and a metric that name the route and the field. Rejecting it was weighed: a node without an older configuration would then serve nothing, and one with an older one would miss every later change.

--- a/guavagap/configuration.py
+++ b/guavagap/configuration.py
@@ -59,8 +59,11 @@
         bodies: document bodies by digest, which are sent to other nodes.
         snapshot: the routes of the applied documents.
         rejections: rejected versions by service.
+        unknown_values: always empty, since documents are checked when committed.
     """
 
+    unknown_values = ()
+
     def __init__(self):
         self.head: Head = EMPTY_HEAD
         self.head_digest = compute_head_digest(0, {})
--- a/guavagap/declarations.py
+++ b/guavagap/declarations.py
@@ -14,6 +14,7 @@
     "Declaration",
     "RolloutOrder",
     "ServiceShare",
+    "UnknownValue",
     "check_declaration",
 ]
 
@@ -59,6 +60,19 @@
     idle_timeout_s: float
 
 
+class UnknownValue(NamedTuple):
+    """A declared value that this version of the node does not know.
+
+    Attributes:
+        resource: the first resource that has the value.
+        field: name of the field, as declared.
+    """
+
+    resource: str
+    field: str
+    value: str
+
+
 class Declaration(NamedTuple):
     """A complete declared configuration.
 
@@ -66,12 +80,14 @@
         version: increases with each configuration.
         connection_limits: number of connections that a backend server of each service
             accepts.
+        unknown_values: values for which a default is used, each one once.
     """
 
     version: int
     routes: tuple[DeclaredRoute, ...]
     connection_limits: dict[str, int]
     limits: CallerLimits
+    unknown_values: tuple[UnknownValue, ...] = ()
 
 
 class RolloutOrder(NamedTuple):
--- a/guavagap/declared_configuration.py
+++ b/guavagap/declared_configuration.py
@@ -13,6 +13,7 @@
     CallerLimits,
     Declaration,
     RolloutOrder,
+    UnknownValue,
     check_declaration,
 )
 from guavagap.errors import ErrorKind, GuavagapError
@@ -77,6 +78,11 @@
             return DEFAULT_CALLER_LIMITS
         return self.declaration.limits
 
+    @property
+    def unknown_values(self) -> tuple[UnknownValue, ...]:
+        """Values of the current declaration for which a default is used."""
+        return () if self.declaration is None else self.declaration.unknown_values
+
     @property
     def head_digest(self) -> str:
         """Digest of the mirrored keys and their revisions."""
@@ -166,6 +172,13 @@
             )
         check_declaration(declaration)
         self.declaration = declaration
+        for unknown in declaration.unknown_values:
+            log.warning(
+                "unknown value in declaration",
+                version=declaration.version,
+                **unknown._asdict(),
+                outcome="default used",
+            )
 
     def revision_of(self, key: str) -> int:
         """Return the revision of a mirrored key, or 0 if there is no such key."""
--- a/guavagap/metrics.py
+++ b/guavagap/metrics.py
@@ -5,6 +5,8 @@
 
 from aioprometheus import Counter, Gauge, Registry, render
 
+from guavagap.declarations import UnknownValue
+
 __all__ = ["NodeMetrics"]
 
 
@@ -20,6 +22,7 @@
         self._registry = Registry()
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
+        self._unknown_values: set[UnknownValue] = set()
         self._registry.register(node.proxy.latency_s)
 
     def render(self) -> tuple[bytes, str]:
@@ -29,7 +32,7 @@
         return body, headers["Content-Type"]
 
     def _set_counter(
-        self, name: str, help_text: str, value: float, **labels: str
+        self, name: str, help_text: str, value: float, /, **labels: str
     ) -> None:
         counter = self._counters.get(name)
         if counter is None:
@@ -38,7 +41,7 @@
         counter.set(labels, value)
 
     def _set_gauge(
-        self, name: str, help_text: str, value: float, **labels: str
+        self, name: str, help_text: str, value: float, /, **labels: str
     ) -> None:
         gauge = self._gauges.get(name)
         if gauge is None:
@@ -74,6 +77,7 @@
             "Services whose latest version is rejected here.",
             len(configuration.rejections),
         )
+        self._collect_unknown_values()
         self._set_gauge(
             "config_split_epochs",
             "Epochs seen with two contents.",
@@ -95,6 +99,18 @@
         for way, value in node.disseminator.counts.items():
             self._set_counter("config_deltas_total", "Deltas by way.", value, way=way)
 
+    def _collect_unknown_values(self) -> None:
+        """Set 1 for each value in use, and 0 for those of earlier declarations."""
+        current = set(self._node.configuration.unknown_values)
+        for unknown in self._unknown_values | current:
+            self._set_gauge(
+                "config_unknown_values",
+                "1 while a default is used in place of a declared value.",
+                int(unknown in current),
+                **unknown._asdict(),
+            )
+        self._unknown_values = current
+
     def _collect_mesh(self) -> None:
         node = self._node
         self._set_gauge("members", "Members that are alive.", len(node.table.alive()))
--- a/guavagap/platform/decode.py
+++ b/guavagap/platform/decode.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from enum import Enum
 from typing import TypeVar
 
 from guavagap.addresses import parse_address
@@ -15,6 +16,7 @@
     DeclaredRoute,
     RolloutOrder,
     ServiceShare,
+    UnknownValue,
 )
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.head import Rollout
@@ -32,12 +34,32 @@
 ORDER_PREFIX = "op/rollout/"
 STATUS_PREFIX = "status/rollout/"
 MAX_SLOTS = 60_000
-_SAFE, _UNSAFE = "safe", "unsafe"
 _READY, _DRAINING = "ready", "draining"
 
 Field = TypeVar("Field")
 
 
+class _RequestKind(Enum):
+    """Kinds of requests, with whether a request may be executed more than once.
+
+    The platform calls a request "safe" if it may be repeated, even if it has effects.
+    """
+
+    SAFE = ("safe", True)
+    UNSAFE = ("unsafe", False)
+    DOWNLOAD = ("download", True)
+
+    def __init__(self, wire_name: str, is_idempotent: bool):
+        self.wire_name = wire_name
+        self.is_idempotent = is_idempotent
+
+
+_KINDS = {kind.wire_name: kind for kind in _RequestKind}
+# A kind added to the platform later is served like the one with the fewest
+# assumptions: rejecting it would leave every route of the declaration without service.
+_FALLBACK_KIND = _RequestKind.UNSAFE
+
+
 def _configuration_rejected(key: str, error: Exception) -> GuavagapError:
     return GuavagapError(ErrorKind.CONFIGURATION_REJECTED, f"{key}: {error!r}")
 
@@ -111,22 +133,34 @@
     limits = specs.get("limits", [])
     if len(limits) != 1:
         raise ValueError(f"expected one limits resource, got {len(limits)}")
+    routes = specs.get("routes", [])
     return Declaration(
         # A hexadecimal string.
         int(_string_field(value, "version"), 16),
-        tuple(_decode_route(*row) for row in specs.get("routes", [])),
+        tuple(_decode_route(*row) for row in routes),
         {
             _string_field(metadata, "name"): _int_field(spec, "maxConnections")
             for metadata, spec in specs.get("services", [])
         },
         _decode_limits(limits[0][1]),
+        _find_unknown_kinds(routes),
+    )
+
+
+def _find_unknown_kinds(routes: list[tuple[dict, dict]]) -> tuple[UnknownValue, ...]:
+    """Return one entry for each unknown kind, with the first route that has it."""
+    first_routes: dict[str, str] = {}
+    for metadata, spec in routes:
+        if spec["kind"] not in _KINDS:
+            first_routes.setdefault(spec["kind"], metadata["name"])
+    return tuple(
+        UnknownValue(f"route {name}", "kind", kind)
+        for kind, name in first_routes.items()
     )
 
 
 def _decode_route(metadata: dict, spec: dict) -> DeclaredRoute:
-    kind = _string_field(spec, "kind")
-    if kind not in (_SAFE, _UNSAFE):
-        raise ValueError(f"kind has the invalid value {kind!r}")
+    kind = _KINDS.get(_string_field(spec, "kind"), _FALLBACK_KIND)
     prefix = _string_field(spec, "prefix")
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise ValueError(f"prefix {prefix!r} does not start and end with '/'")
@@ -134,8 +168,7 @@
         _string_field(metadata, "name"),
         _string_field(spec, "host"),
         prefix,
-        # "safe" means that a request may be run more than once.
-        kind == _SAFE,
+        kind.is_idempotent,
         _float_field(spec, "timeoutS"),
         _float_field(spec, "targetLatencyS"),
         _int_field(spec, "priority"),
--- a/standins/operator_fleet.py
+++ b/standins/operator_fleet.py
@@ -25,6 +25,8 @@
     Attributes:
         services: weight of each service; several make a traffic split.
         is_safe: whether requests may be repeated.
+        kind: kind of the requests as the operator declares it; by default the one
+            that ``is_safe`` implies.
     """
 
     prefix: str
@@ -34,6 +36,7 @@
     target_latency_s: float = 0.5
     priority: int = 1
     max_attempts: int = 2
+    kind: str | None = None
 
 
 class OperatorFleet(Fleet):
@@ -90,7 +93,7 @@
             spec = {
                 "host": HOST,
                 "prefix": route.prefix,
-                "kind": "safe" if route.is_safe else "unsafe",
+                "kind": route.kind or ("safe" if route.is_safe else "unsafe"),
                 "timeoutS": route.timeout_s,
                 "targetLatencyS": route.target_latency_s,
                 "priority": route.priority,
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -60,6 +60,7 @@
             "cut_share": 0.0,
             "extra_share": 0.0,
             "lose_share": 0.0,
+            "response_bytes": RESPONSE_BYTES,
             "state": "ready",
             "is_silent": False,
         }
@@ -133,9 +134,11 @@
         if random.random() < self.knobs["fail_share"]:
             return await _send(connection, 500, response_headers, b"failed")
         if random.random() < self.knobs["cut_share"]:
-            return await _send_truncated(connection, response_headers)
+            return await _send_truncated(
+                connection, response_headers, self.knobs["response_bytes"]
+            )
         is_reusable = await _send(
-            connection, 200, response_headers, b"x" * RESPONSE_BYTES
+            connection, 200, response_headers, b"x" * self.knobs["response_bytes"]
         )
         if is_reusable and random.random() < self.knobs["extra_share"]:
             await curio.spawn(_send_unsolicited, connection, request_id, daemon=True)
@@ -196,10 +199,10 @@
     return connection.start_next_cycle()
 
 
-async def _send_truncated(connection, headers) -> bool:
-    headers = [*headers, (b"content-length", b"%d" % RESPONSE_BYTES)]
+async def _send_truncated(connection, headers, body_bytes: int) -> bool:
+    headers = [*headers, (b"content-length", b"%d" % body_bytes)]
     response = h11.Response(status_code=200, headers=headers)
-    await connection.send(response, h11.Data(data=b"x" * (RESPONSE_BYTES // 2)))
+    await connection.send(response, h11.Data(data=b"x" * (body_bytes // 2)))
     return False
 
 
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -5,7 +5,7 @@
 import testtools
 from hypothesis import given, strategies
 
-from guavagap.declarations import Declaration, ServiceShare
+from guavagap.declarations import Declaration, ServiceShare, UnknownValue
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.metadata_store import MirrorItem
 from guavagap.platform.decode import decode_item, decode_report, encode_status
@@ -80,6 +80,13 @@
 }
 
 
+def configuration_with(**fields) -> dict:
+    """Return the configuration with some fields of its first route replaced."""
+    changed = json.loads(json.dumps(CONFIGURATION))
+    changed["resources"][0]["spec"] |= fields
+    return changed
+
+
 def item(value, key="op/config") -> MirrorItem:
     return MirrorItem(key, 5, json.dumps(value).encode())
 
@@ -99,12 +106,24 @@
         self.assertEqual({"s1": 130, "s2": 130}, declaration.connection_limits)
         self.assertEqual(15, declaration.limits.idle_timeout_s)
 
+    def test_kind_decides_whether_a_request_may_be_repeated(self):
+        kinds = {"safe": True, "unsafe": False, "download": True}
+        for kind, is_idempotent in kinds.items():
+            declaration = decode_item(item(configuration_with(kind=kind)))
+            self.assertEqual(is_idempotent, declaration.routes[0].is_idempotent)
+            self.assertEqual((), declaration.unknown_values)
+
+    def test_unknown_kind_is_served_at_most_once_and_reported(self):
+        declaration = decode_item(item(configuration_with(kind="novel")))
+        self.assertEqual(2, len(declaration.routes))
+        self.assertFalse(declaration.routes[0].is_idempotent)
+        unknown = UnknownValue("route r-1", "kind", "novel")
+        self.assertEqual((unknown,), declaration.unknown_values)
+
     def test_missing_or_mistyped_field_rejects_the_configuration(self):
-        spec = CONFIGURATION["resources"][0]["spec"]
         for name in ("host", "prefix", "kind", "timeoutS", "maxAttempts"):
             for replacement in (None, {}, True):
-                changed = json.loads(json.dumps(CONFIGURATION))
-                changed["resources"][0]["spec"] = spec | {name: replacement}
+                changed = configuration_with(**{name: replacement})
                 error = self.assertRaises(GuavagapError, decode_item, item(changed))
                 self.assertEqual(ErrorKind.CONFIGURATION_REJECTED, error.kind)
 
