Load pydantic with the first validation

Nodes of the operator's deployment import pydantic and build its validators, but validate nothing. Ruled out: compiled code without line tables or docstrings (no gain measured). Change: validators import pydantic when first used; records of rollouts, which operator nodes read beside requests, are checked without it.

--- a/guavagap/announcements.py
+++ b/guavagap/announcements.py
@@ -10,12 +10,12 @@
 from typing import Annotated, NamedTuple
 
 from expression import Error, Ok, Result
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 from typing_extensions import NotRequired, TypedDict
 
 from guavagap.addresses import parse_address
 from guavagap.documents import Name, VersionName
 from guavagap.messages import BackendServer
+from guavagap.validation import STRICT, InvalidValueError, Limits, make_validator
 
 __all__ = [
     "DEFAULT_POOL",
@@ -45,15 +45,15 @@
         ttl_s: time after which the announcement expires without renewal.
     """
 
-    __pydantic_config__ = ConfigDict(extra="forbid", strict=True)
+    __pydantic_config__ = STRICT
 
     service: Name
     version: VersionName
     pool: NotRequired[Name]
     address: str
-    slots: Annotated[int, Field(ge=1, le=10_000)]
-    connections: Annotated[int, Field(ge=1, le=60_000)]
-    ttl_s: NotRequired[Annotated[float, Field(gt=0, le=3600)]]
+    slots: Annotated[int, Limits(ge=1, le=10_000)]
+    connections: Annotated[int, Limits(ge=1, le=60_000)]
+    ttl_s: NotRequired[Annotated[float, Limits(gt=0, le=3600)]]
 
 
 class ServerReport(NamedTuple):
@@ -77,18 +77,18 @@
     sequence: int
 
 
-_ADAPTER = TypeAdapter(Announcement)
+_VALIDATOR = make_validator(Announcement)
 
 
 def decode_announcement(body: bytes) -> Result[Announcement, str]:
     """Decode and validate the JSON of an announcement."""
     try:
-        announcement = _ADAPTER.validate_python(json.loads(body))
+        announcement = _VALIDATOR.validate(json.loads(body))
         parse_address(announcement["address"])
-    except ValidationError as error:
+    except InvalidValueError as error:
         problems = [
-            f"{'.'.join(map(str, item['loc']))}: {item['msg']}"
-            for item in error.errors(include_url=False)
+            f"{'.'.join(map(str, location))}: {reason}"
+            for location, reason in error.problems
         ]
         return Error("; ".join(problems))
     except ValueError as error:
--- a/guavagap/commits.py
+++ b/guavagap/commits.py
@@ -13,7 +13,6 @@
 from typing import Awaitable, Callable, NamedTuple
 
 import curio
-from pydantic import TypeAdapter
 
 from guavagap.documents import (
     Document,
@@ -34,6 +33,7 @@
 )
 from guavagap.key_value import ABSENT, KeyValueStore
 from guavagap.logs import get_logger
+from guavagap.validation import make_validator
 
 __all__ = [
     "Commit",
@@ -57,7 +57,7 @@
 FIRST_BACKOFF_S = 0.01
 MAX_BACKOFF_S = 0.5
 
-_CHANGE_ADAPTER = TypeAdapter(Change)
+_CHANGE_VALIDATOR = make_validator(Change)
 
 HeadEdit = Callable[[Head], Awaitable[Head | None]]
 
@@ -194,7 +194,7 @@
 async def read_audit(platform: KeyValueStore, epoch: int) -> Change | None:
     """Return the audit record of an epoch, or None if there is none."""
     value = await platform.get(audit_key(epoch))
-    return None if value is None else _CHANGE_ADAPTER.validate_json(value.body)
+    return None if value is None else _CHANGE_VALIDATOR.validate_json(value.body)
 
 
 async def _find_change_epoch(
--- a/guavagap/documents.py
+++ b/guavagap/documents.py
@@ -11,9 +11,10 @@
 from typing import Annotated, Literal, NamedTuple, NotRequired
 
 from expression import Error, Ok, Result
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 from typing_extensions import TypedDict
 
+from guavagap.validation import STRICT, InvalidValueError, Limits, make_validator
+
 __all__ = [
     "Document",
     "MAX_DOCUMENT_BYTES",
@@ -31,15 +32,15 @@
 
 MAX_DOCUMENT_BYTES = 65_536
 
-_STRICT = ConfigDict(extra="forbid", strict=True)
-
-Name = Annotated[str, Field(pattern=r"^[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?$")]
-VersionName = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-HostName = Annotated[str, Field(pattern=r"^(\*|[a-z0-9]([a-z0-9.-]{0,252}[a-z0-9])?)$")]
-PathPrefix = Annotated[str, Field(pattern=r"^/[^?#\s]*$", max_length=512)]
+Name = Annotated[str, Limits(pattern=r"^[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?$")]
+VersionName = Annotated[str, Limits(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+HostName = Annotated[
+    str, Limits(pattern=r"^(\*|[a-z0-9]([a-z0-9.-]{0,252}[a-z0-9])?)$")
+]
+PathPrefix = Annotated[str, Limits(pattern=r"^/[^?#\s]*$", max_length=512)]
 Method = Literal["GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"]
 Timestamp = Annotated[
-    str, Field(pattern=r"^\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?(Z|[+-]\d\d:\d\d)$")
+    str, Limits(pattern=r"^\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?(Z|[+-]\d\d:\d\d)$")
 ]
 
 
@@ -54,11 +55,11 @@
             the announced slots apply if it is absent.
     """
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = STRICT
 
     name: Name
-    min_available_share: NotRequired[Annotated[float, Field(ge=0, le=1)]]
-    max_in_flight: NotRequired[Annotated[int, Field(ge=1, le=1000)]]
+    min_available_share: NotRequired[Annotated[float, Limits(ge=0, le=1)]]
+    max_in_flight: NotRequired[Annotated[int, Limits(ge=1, le=1000)]]
 
 
 class Route(TypedDict):
@@ -77,16 +78,16 @@
         pool: name of a pool of this document.
     """
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = STRICT
 
     name: Name
     host: HostName
     path_prefix: PathPrefix
-    methods: NotRequired[Annotated[list[Method], Field(min_length=1)]]
+    methods: NotRequired[Annotated[list[Method], Limits(min_length=1)]]
     is_idempotent: bool
-    timeout_s: Annotated[float, Field(gt=0, le=600)]
-    retry_share: NotRequired[Annotated[float, Field(ge=0, le=0.5)]]
-    sticky_header: NotRequired[Annotated[str, Field(pattern=r"^[a-z0-9-]{1,64}$")]]
+    timeout_s: Annotated[float, Limits(gt=0, le=600)]
+    retry_share: NotRequired[Annotated[float, Limits(ge=0, le=0.5)]]
+    sticky_header: NotRequired[Annotated[str, Limits(pattern=r"^[a-z0-9-]{1,64}$")]]
     pool: Name
 
 
@@ -99,7 +100,7 @@
         state: ``run``, ``pause`` (keeps the weight) or ``abort`` (sets it to zero).
     """
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = STRICT
 
     backend_server_version: VersionName
     complete_by: Timestamp
@@ -116,14 +117,14 @@
             first document.
     """
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = STRICT
 
     service: Name
-    owner: Annotated[str, Field(min_length=1, max_length=200)]
-    edited_from: Annotated[int, Field(ge=0)]
+    owner: Annotated[str, Limits(min_length=1, max_length=200)]
+    edited_from: Annotated[int, Limits(ge=0)]
     wanted: WantedVersion
-    pools: Annotated[list[Pool], Field(min_length=1, max_length=32)]
-    routes: Annotated[list[Route], Field(min_length=1, max_length=128)]
+    pools: Annotated[list[Pool], Limits(min_length=1, max_length=32)]
+    routes: Annotated[list[Route], Limits(min_length=1, max_length=128)]
 
 
 class Problem(NamedTuple):
@@ -143,7 +144,7 @@
         return f"{self.file}: {self.path or 'document'}: {self.reason}"
 
 
-_ADAPTER = TypeAdapter(Document)
+_VALIDATOR = make_validator(Document)
 
 
 def _format_path(location: tuple) -> str:
@@ -207,12 +208,12 @@
         The document, or all problems found in it.
     """
     try:
-        document = _ADAPTER.validate_python(value)
-    except ValidationError as error:
+        document = _VALIDATOR.validate(value)
+    except InvalidValueError as error:
         return Error(
             [
-                Problem(file, _format_path(item["loc"]), item["msg"])
-                for item in error.errors(include_url=False, include_context=False)
+                Problem(file, _format_path(location), reason)
+                for location, reason in error.problems
             ]
         )
     problems = _find_semantic_problems(document, file)
--- a/guavagap/head.py
+++ b/guavagap/head.py
@@ -8,11 +8,11 @@
 import json
 from typing import Literal, NamedTuple
 
-from pydantic import ConfigDict, TypeAdapter, ValidationError
 from typing_extensions import TypedDict
 
 from guavagap.documents import compute_digest
 from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.validation import STRICT, InvalidValueError, make_validator
 
 __all__ = [
     "Change",
@@ -31,8 +31,6 @@
     "merge_delta",
 ]
 
-_STRICT = ConfigDict(extra="forbid", strict=True)
-
 RolloutState = Literal["running", "paused", "completed", "rolled_back", "aborted"]
 
 
@@ -50,7 +48,7 @@
         reason: the reason for the latest decision, with the figures behind it.
     """
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = STRICT
 
     from_version: str
     to_version: str
@@ -78,7 +76,7 @@
         is_deleted: whether the service has been deleted.
     """
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = STRICT
 
     version: int
     digest: str
@@ -105,7 +103,7 @@
         versions: document version of each service that the commit changed.
     """
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = STRICT
 
     id: str
     epoch: int
@@ -119,7 +117,7 @@
 class Head(TypedDict):
     """The complete accepted configuration, without document bodies."""
 
-    __pydantic_config__ = _STRICT
+    __pydantic_config__ = STRICT
 
     epoch: int
     change: Change | None
@@ -145,7 +143,7 @@
 
 
 EMPTY_HEAD: Head = {"epoch": 0, "change": None, "entries": {}}
-_HEAD_ADAPTER = TypeAdapter(Head)
+_HEAD_VALIDATOR = make_validator(Head)
 
 
 def encode_head(head: Head) -> bytes:
@@ -160,11 +158,9 @@
         GuavagapError: FRAME_INVALID.
     """
     try:
-        return _HEAD_ADAPTER.validate_json(body)
-    except ValidationError as error:
-        raise GuavagapError(
-            ErrorKind.FRAME_INVALID, f"invalid head: {error.errors()[0]}"
-        ) from None
+        return _HEAD_VALIDATOR.validate_json(body)
+    except InvalidValueError as error:
+        raise GuavagapError(ErrorKind.FRAME_INVALID, f"invalid head: {error}") from None
 
 
 def compute_head_digest(epoch: int, entries: dict[str, Entry]) -> str:
@@ -219,7 +215,7 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
-_ENTRIES_ADAPTER = TypeAdapter(dict[str, Entry])
+_ENTRIES_VALIDATOR = make_validator(dict[str, Entry])
 
 
 def decode_delta(body: bytes) -> Delta:
@@ -233,7 +229,7 @@
         return Delta(
             int(value["base_epoch"]),
             int(value["epoch"]),
-            _ENTRIES_ADAPTER.validate_python(value["entries"]),
+            _ENTRIES_VALIDATOR.validate(value["entries"]),
             {key: text.encode() for key, text in value["bodies"].items()},
             str(value["head_digest"]),
         )
--- a/guavagap/rollout_records.py
+++ b/guavagap/rollout_records.py
@@ -5,12 +5,10 @@
 """
 
 import json
-from typing import NamedTuple
-
-from pydantic import TypeAdapter, ValidationError
+from typing import NamedTuple, get_args
 
 from guavagap.errors import ErrorKind, GuavagapError
-from guavagap.head import Rollout
+from guavagap.head import Rollout, RolloutState
 
 __all__ = [
     "RECORD_PREFIX",
@@ -23,8 +21,6 @@
 
 RECORD_PREFIX = "mesh/rollout/"
 
-_ROLLOUT_ADAPTER = TypeAdapter(Rollout)
-
 
 class RolloutRecord(NamedTuple):
     """The stored state of a service's latest rollout.
@@ -72,9 +68,32 @@
             int(value["order_revision"]),
             str(value["stable_version"]),
             tuple(str(version) for version in value["rolled_back_versions"]),
-            _ROLLOUT_ADAPTER.validate_python(value["rollout"]),
+            _decode_rollout(value["rollout"]),
         )
-    except (ValueError, KeyError, TypeError, ValidationError) as error:
+    except (ValueError, KeyError, TypeError) as error:
         raise GuavagapError(
             ErrorKind.FRAME_INVALID, f"invalid rollout record: {error!r}"
         ) from None
+
+
+def _decode_rollout(value: dict) -> Rollout:
+    """Check a decoded rollout.
+
+    This is done without a validator, since loading one would stall the requests of a
+    node that runs its first rollout.
+
+    Raises:
+        ValueError, KeyError, TypeError: it is not a rollout.
+    """
+    if value["state"] not in get_args(RolloutState):
+        raise ValueError(f"unknown state {value['state']!r}")
+    return Rollout(
+        from_version=str(value["from_version"]),
+        to_version=str(value["to_version"]),
+        state=value["state"],
+        weight_permille=int(value["weight_permille"]),
+        started_at_s=float(value["started_at_s"]),
+        stage_started_at_s=float(value["stage_started_at_s"]),
+        complete_by_s=float(value["complete_by_s"]),
+        reason=str(value["reason"]),
+    )
