Choose backend servers among a sample, with the own one's present load

Cause: on the large site a node knows most of 100 backend servers by reports that are seconds old, and all nodes choose the best of all by them; each choice scores all. Change: guavagap/scheduling/placement.py decides apart from input and output, among the own backend server, whose load is read when it is needed, up to six of the failure domain and four of others; a hop over a link has a price.

--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -24,7 +24,6 @@
     PermitRevoke,
 )
 from guavagap.stream_messages import (
-    UNKNOWN_CONDITION,
     Condition,
     OpenStream,
     StreamReset,
@@ -80,8 +79,7 @@
     stream.cancel_on_reset(await curio.current_task())
 
     def read_condition() -> Condition:
-        backend_proxy = node.backend_proxies.get(opening.server_id)
-        return UNKNOWN_CONDITION if backend_proxy is None else backend_proxy.condition()
+        return node.read_condition(opening.server_id)
 
     downstream = StreamDownstream(stream, opening, read_condition)
     request = request_from_open_stream(opening)
--- a/guavagap/routing.py
+++ b/guavagap/routing.py
@@ -3,17 +3,25 @@
 The service is selected first, by the weights of the route, then the version, by the
 weight of the rollout. Among the targets of that version, :class:`Router` compares two
 random ones of the nearest unsaturated targets and selects the less loaded one;
-:class:`ForwardingRouter` selects the one with the lowest expected latency.
+:class:`ForwardingRouter` selects the one with the lowest expected latency in a sample.
 """
 
 import hashlib
 import random
 import time
+from typing import Callable, Sequence
 
 from guavagap.announcements import DEFAULT_POOL
 from guavagap.directory import Directory, Target
 from guavagap.rendezvous import rendezvous_order
+from guavagap.scheduling.placement import (
+    Candidate,
+    Distance,
+    choose_candidate,
+    sample_indices,
+)
 from guavagap.snapshot import CompiledRoute, RouteShare, ServiceState
+from guavagap.stream_messages import Condition
 
 __all__ = ["ForwardingRouter", "Router", "saturation"]
 
@@ -21,17 +29,8 @@
 # A node prefers few targets, since it needs direct connections to each of them.
 MAX_CANDIDATES = 2
 MAX_CACHE_ENTRIES = 2000
-# A target in another failure domain is selected only if its expected latency is lower
-# by more than this cost, in target latencies: crossing costs a round trip and billed
-# traffic. A short queue in the local failure domain is preferable.
-CROSS_DOMAIN_COST = 1.0
-CROSS_DOMAIN_COST_PER_KIB = 0.03
 # A backend server takes about twice as long for a request in its first seconds.
 COLD_START_S = 3.0
-COLD_START_FACTOR = 2.0
-LOAD_PENALTY = 0.5
-# Without any report, a run is assumed to take a third of the target latency.
-DEFAULT_SLOWNESS = 0.33
 
 
 def saturation(target: Target, max_in_flight: int | None, now_s: float) -> float:
@@ -52,6 +51,7 @@
         local_region: region of this node.
         local_domain: failure domain of this node.
         is_rolled_back: returns whether a version of a service is rolled back.
+        read_local_condition: returns the condition of a backend server of this node.
     """
 
     def __init__(
@@ -61,11 +61,13 @@
         local_region: str,
         local_domain: str,
         is_rolled_back,
+        read_local_condition: Callable[[str], Condition],
     ):
         self._directory = directory
         self._local_region = local_region
         self._local_domain = local_domain
         self._is_rolled_back = is_rolled_back
+        self._read_local_condition = read_local_condition
         self._local_id = local_id
         self._target_orders: dict[tuple[str, ...], list[int]] = {}
         self._current_weights: dict[tuple, list[float]] = {}
@@ -138,8 +140,8 @@
         version that was rolled back or is excluded is never used.
         """
         state = share.service
-        versions = [preferred or self.most_common_version(state)]
         stable = state.stable_version or self.most_common_version(state)
+        versions = [preferred or stable]
         if stable not in versions:
             versions.append(stable)
         if self._is_rollout_open(state) and state.to_version not in versions:
@@ -224,8 +226,8 @@
         return first if first_load <= saturation(second, limit, now_s) else second
 
     def _healthy(
-        self, share: RouteShare, targets: list[Target], now_s: float
-    ) -> list[Target]:
+        self, share: RouteShare, targets: Sequence[Target], now_s: float
+    ) -> Sequence[Target]:
         """Return the healthy targets, or all if too few are healthy."""
         healthy = [
             item
@@ -272,59 +274,45 @@
 class ForwardingRouter(Router):
     """Selects targets where each request passes admission at the owner node.
 
-    Requests need no permits, so any target can be used. The one with the lowest
-    expected latency is selected, but one in the local failure domain is preferred
-    unless it is much slower.
+    Requests need no permits, so any target can be used; see
+    :mod:`guavagap.scheduling.placement`.
     """
 
     def _choose_among(
         self, share: RouteShare, targets: tuple[Target, ...], response_bytes: float
     ) -> Target:
         now_s = time.monotonic()
-        healthy = self._healthy(share, list(targets), now_s)
-        median = _median_slowness(healthy, now_s)
-        scored = [
-            (self._expected_time(item, median, now_s), random.random(), item)
-            for item in healthy
-        ]
-        best = min(scored)
-        local_scored = [
-            row for row in scored if row[2].failure_domain == self._local_domain
+        healthy = self._healthy(share, targets, now_s)
+        distances = [self._distance(item) for item in healthy]
+        indices = sample_indices(distances, random)
+        candidates = [
+            self._make_candidate(healthy[index], distances[index], now_s)
+            for index in indices
         ]
-        if not local_scored:
-            return best[2]
-        best_local = min(local_scored)
-        cross_domain_cost = (
-            CROSS_DOMAIN_COST + CROSS_DOMAIN_COST_PER_KIB * response_bytes / 1024
+        return healthy[indices[choose_candidate(candidates, response_bytes, random)]]
+
+    def _distance(self, target: Target) -> Distance:
+        if target.node_id == self._local_id:
+            return Distance.SAME_NODE
+        if target.failure_domain == self._local_domain:
+            return Distance.SAME_DOMAIN
+        return Distance.OTHER_DOMAIN
+
+    def _make_candidate(
+        self, target: Target, distance: Distance, now_s: float
+    ) -> Candidate:
+        health = target.health
+        if distance is Distance.SAME_NODE:
+            condition = self._read_local_condition(target.server.server_id)
+            health.update_condition(condition, now_s)
+        is_cold = not health.is_warm and now_s - health.first_seen_s < COLD_START_S
+        return Candidate(
+            target.server.slots,
+            health.load(now_s),
+            health.expected_slowness(now_s),
+            is_cold,
+            distance,
         )
-        return (
-            best_local[2] if best_local[0] <= best[0] + cross_domain_cost else best[2]
-        )
-
-    def _expected_time(self, target: Target, median: float, now_s: float) -> float:
-        """Return the expected latency of a request, in target latencies."""
-        slowness = target.health.expected_slowness(now_s) or median
-        if (
-            not target.health.is_warm
-            and now_s - target.health.first_seen_s < COLD_START_S
-        ):
-            slowness = max(slowness, COLD_START_FACTOR * median)
-        slots = target.server.slots
-        load = target.health.load(now_s)
-        waiting = max(0, load + 1 - slots)
-        # A backend server that is nearly full is slower, and more likely to be full
-        # when the request arrives.
-        return slowness * (1 + LOAD_PENALTY * load / slots + waiting / slots)
-
-
-def _median_slowness(targets: list[Target], now_s: float) -> float:
-    """Return the median of the targets' slowness, a default if none is known."""
-    known = sorted(
-        slowness
-        for item in targets
-        if (slowness := item.health.expected_slowness(now_s)) is not None
-    )
-    return known[len(known) // 2] if known else DEFAULT_SLOWNESS
 
 
 def _sticky_position(state: ServiceState, sticky_value: bytes) -> int:
--- /dev/null
+++ b/guavagap/scheduling/placement.py
@@ -0,0 +1,128 @@
+"""Placement: the choice of a backend server for a request.
+
+Load patterns:
+
+- A fleet in which a node sends few requests to each backend server, so that what it
+  knows of most of them is old. A choice of the least loaded of all by old reports
+  sends the requests of many nodes to the same few servers. Only a random sample is
+  compared (Mitzenmacher, "How useful is old information?"), which also bounds the
+  cost of a choice.
+- Backend servers of different speed, and ones that turn slow: the expected run time
+  counts, so the fast ones run more while they have slots.
+- A burst at one node. Its own backend server, whose load is known exactly, is preferred
+  by the time that a hop over a link takes.
+"""
+
+from enum import IntEnum
+from typing import NamedTuple, Sequence
+
+__all__ = ["Candidate", "Distance", "choose_candidate", "sample_indices"]
+
+# A candidate in another failure domain is selected only if its expected latency is
+# lower by more than this cost, in target latencies: crossing costs a round trip and
+# billed traffic. A short queue in the local failure domain is preferable.
+CROSS_DOMAIN_COST = 1.0
+CROSS_DOMAIN_COST_PER_KIB = 0.03
+COLD_START_FACTOR = 2.0
+LOAD_PENALTY = 0.5
+# Without any report, a run is assumed to take a third of the target latency.
+DEFAULT_SLOWNESS = 0.33
+# A hop to the owner node of another backend server, in target latencies.
+HOP_COST = 0.03
+SAMPLE_IN_DOMAIN = 6
+SAMPLE_IN_OTHER_DOMAINS = 4
+
+
+class Distance(IntEnum):
+    """Where a backend server is, seen from the node that chooses."""
+
+    SAME_NODE = 0
+    SAME_DOMAIN = 1
+    OTHER_DOMAIN = 2
+
+
+class Candidate(NamedTuple):
+    """A backend server as the choosing node knows it.
+
+    Attributes:
+        slots: maximum number of concurrent requests.
+        load: requests that run or wait there, by the best estimate.
+        slowness: mean run time as a share of the target latency; None if unknown.
+        is_cold: whether it started a moment ago and is not fast yet.
+    """
+
+    slots: int
+    load: int
+    slowness: float | None
+    is_cold: bool
+    distance: Distance
+
+
+def sample_indices(distances: Sequence[Distance], random) -> list[int]:
+    """Return the indices of the candidates to compare, from their distances.
+
+    Args:
+        distances: distance of each candidate.
+        random: source of randomness, as :mod:`random`.
+    """
+    in_domain, elsewhere, sample = [], [], []
+    for index, distance in enumerate(distances):
+        if distance is Distance.SAME_NODE:
+            sample.append(index)
+        elif distance is Distance.SAME_DOMAIN:
+            in_domain.append(index)
+        else:
+            elsewhere.append(index)
+    sample += _at_most(in_domain, SAMPLE_IN_DOMAIN, random)
+    sample += _at_most(elsewhere, SAMPLE_IN_OTHER_DOMAINS, random)
+    return sample
+
+
+def _at_most(indices: list[int], count: int, random) -> list[int]:
+    return indices if len(indices) <= count else random.sample(indices, count)
+
+
+def choose_candidate(
+    candidates: Sequence[Candidate], response_bytes: float, random
+) -> int:
+    """Return the index of the candidate for a request.
+
+    Args:
+        candidates: the candidates to compare, at least one.
+        response_bytes: mean size of the responses of the route.
+        random: source of randomness, as :mod:`random`; decides between equals.
+    """
+    median = _median_slowness(candidates)
+    best = best_in_domain = None
+    for index, candidate in enumerate(candidates):
+        score = (_expected_time(candidate, median), random.random(), index)
+        if best is None or score < best:
+            best = score
+        is_in_domain = candidate.distance is not Distance.OTHER_DOMAIN
+        if is_in_domain and (best_in_domain is None or score < best_in_domain):
+            best_in_domain = score
+    if best_in_domain is None:
+        return best[2]
+    crossing_cost = (
+        CROSS_DOMAIN_COST + CROSS_DOMAIN_COST_PER_KIB * response_bytes / 1024
+    )
+    return (best_in_domain if best_in_domain[0] <= best[0] + crossing_cost else best)[2]
+
+
+def _expected_time(candidate: Candidate, median: float) -> float:
+    """Return the expected latency of a request, in target latencies."""
+    slowness = candidate.slowness or median
+    if candidate.is_cold:
+        slowness = max(slowness, COLD_START_FACTOR * median)
+    slots, load = candidate.slots, candidate.load
+    waiting = max(0, load + 1 - slots)
+    # A backend server that is nearly full is slower, and more likely to be full when
+    # the request arrives.
+    time = slowness * (1 + LOAD_PENALTY * load / slots + waiting / slots)
+    return time if candidate.distance is Distance.SAME_NODE else time + HOP_COST
+
+
+def _median_slowness(candidates: Sequence[Candidate]) -> float:
+    """Return the median of the known slowness, a default if none is known."""
+    known = sorted(item.slowness for item in candidates if item.slowness is not None)
+    return known[len(known) // 2] if known else DEFAULT_SLOWNESS
--- /dev/null
+++ b/tests/scheduling/test_placement.py
@@ -0,0 +1,104 @@
+"""Tests of placement: load patterns replayed against the choice of backend servers."""
+
+import random
+from collections import Counter
+
+import testtools
+
+from guavagap.scheduling.placement import (
+    HOP_COST,
+    SAMPLE_IN_DOMAIN,
+    SAMPLE_IN_OTHER_DOMAINS,
+    Candidate,
+    Distance,
+    choose_candidate,
+    sample_indices,
+)
+
+SEED = 11
+
+
+def make_candidate(
+    load=0, slowness=None, distance=Distance.SAME_DOMAIN, slots=4, is_cold=False
+) -> Candidate:
+    return Candidate(slots, load, slowness, is_cold, distance)
+
+
+def choose(*candidates: Candidate, response_bytes=0.0) -> int:
+    return choose_candidate(candidates, response_bytes, random.Random(SEED))
+
+
+class ChoiceTests(testtools.TestCase):
+    def test_free_slot_is_preferred_to_a_queue(self):
+        self.assertEqual(1, choose(make_candidate(load=4), make_candidate(load=1)))
+
+    def test_own_server_wins_among_equals(self):
+        own = make_candidate(distance=Distance.SAME_NODE)
+        self.assertEqual(1, choose(make_candidate(), own, make_candidate()))
+
+    def test_own_server_that_is_slower_than_a_hop_is_not_preferred(self):
+        own = make_candidate(slowness=0.3 + 2 * HOP_COST, distance=Distance.SAME_NODE)
+        self.assertEqual(0, choose(make_candidate(slowness=0.3), own))
+
+    def test_short_queue_in_the_domain_is_preferred_to_crossing(self):
+        remote = make_candidate(distance=Distance.OTHER_DOMAIN)
+        self.assertEqual(1, choose(remote, make_candidate(load=5)))
+
+    def test_long_queue_is_left_for_another_domain(self):
+        remote = make_candidate(distance=Distance.OTHER_DOMAIN)
+        self.assertEqual(0, choose(remote, make_candidate(load=30)))
+
+    def test_large_responses_raise_the_price_of_crossing(self):
+        remote = make_candidate(distance=Distance.OTHER_DOMAIN)
+        busy = make_candidate(load=18)
+        self.assertEqual(0, choose(remote, busy))
+        self.assertEqual(1, choose(remote, busy, response_bytes=90 * 1024))
+
+    def test_cold_server_is_avoided_while_warm_ones_have_slots(self):
+        self.assertEqual(1, choose(make_candidate(is_cold=True), make_candidate()))
+
+
+class SampleTests(testtools.TestCase):
+    def test_number_of_candidates_does_not_grow_with_the_fleet(self):
+        distances = [Distance.SAME_NODE]
+        distances += [Distance.SAME_DOMAIN] * 100 + [Distance.OTHER_DOMAIN] * 500
+        sample = sample_indices(distances, random.Random(SEED))
+        self.assertEqual(1 + SAMPLE_IN_DOMAIN + SAMPLE_IN_OTHER_DOMAINS, len(sample))
+        self.assertIn(0, sample)
+
+    def test_small_fleet_is_compared_as_a_whole(self):
+        distances = [Distance.SAME_DOMAIN] * 3 + [Distance.OTHER_DOMAIN] * 2
+        sample = sample_indices(distances, random.Random(SEED))
+        self.assertEqual([0, 1, 2, 3, 4], sorted(sample))
+
+
+class OldReportsTests(testtools.TestCase):
+    """Many nodes choose by the same old reports, so what they choose piles up."""
+
+    NODES = 90
+    SERVERS = 30
+
+    def busiest_share(self, sample) -> float:
+        """Return the busiest server's requests as a multiple of the mean.
+
+        Each node sends one request, knowing only reports from before all of them.
+        """
+        source = random.Random(SEED)
+        reports = [
+            make_candidate(load=source.randrange(3), slowness=source.uniform(0.2, 0.6))
+            for _ in range(self.SERVERS)
+        ]
+        chosen: Counter[int] = Counter()
+        for _ in range(self.NODES):
+            indices = sample(source)
+            candidates = [reports[index] for index in indices]
+            chosen[indices[choose_candidate(candidates, 0.0, source)]] += 1
+        return max(chosen.values()) * self.SERVERS / self.NODES
+
+    def test_sample_spreads_what_the_best_of_all_concentrates(self):
+        distances = [Distance.SAME_DOMAIN] * self.SERVERS
+        everything = list(range(self.SERVERS))
+        of_all = self.busiest_share(lambda source: everything)
+        of_sample = self.busiest_share(lambda source: sample_indices(distances, source))
+        self.assertEqual(self.SERVERS, of_all)
+        self.assertTrue(of_sample < self.SERVERS / 3, of_sample)
