Bound what a backend server may send that is no response

Cause: interim responses and a late response to another request were read for as long as they came, and a reader whose socket always has bytes never gave way, so neither its deadline nor any other task of the node ran. Heads, status lines and chunk sizes without end were refused already. Ruled out: memory; each reader kept at most one part. Change: at most 8 interim responses and 1 MiB of a late response are read; after 256 KiB received a reader gives way to other tasks. Before: 5 of the 7 tests of tests/test_endless_responses.py failed; after: none.

--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -22,6 +22,10 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_STALE_RESPONSES = 2
+# A late response is dropped up to about twice the size of the largest responses.
+MAX_STALE_RESPONSE_BYTES = 1_048_576
+# A backend server sends at most a few interim responses before the response.
+MAX_INTERIM_RESPONSES = 8
 _CHUNKED = (b"transfer-encoding", b"chunked")
 
 
@@ -197,12 +201,17 @@
         )
 
     async def _read_response(self) -> h11.Response:
-        event = await self._next_event()
-        while type(event) is h11.InformationalResponse:
+        """Return the head of a response, after up to ``MAX_INTERIM_RESPONSES``."""
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
-        if type(event) is not h11.Response:
-            raise self._connection_lost("connection closed before the response")
-        return event
+            if type(event) is h11.Response:
+                return event
+            if type(event) is not h11.InformationalResponse:
+                raise self._connection_lost("connection closed before the response")
+        raise GuavagapError(
+            ErrorKind.BACKEND_SERVER_PROTOCOL,
+            f"received more than {MAX_INTERIM_RESPONSES} interim responses",
+        )
 
     def _is_for_sent_request(self, response: h11.Response) -> bool:
         """Return whether a response belongs to the request that was sent."""
@@ -215,8 +224,15 @@
 
     async def _skip_stale_response(self) -> None:
         """Read and drop a late response to an earlier request."""
-        event = await self._next_event()
+        event, size_bytes = await self._next_event(), 0
         while type(event) is h11.Data:
+            size_bytes += len(event.data)
+            if size_bytes > MAX_STALE_RESPONSE_BYTES:
+                raise GuavagapError(
+                    ErrorKind.BACKEND_SERVER_PROTOCOL,
+                    "a response to another request exceeds "
+                    f"{MAX_STALE_RESPONSE_BYTES} bytes",
+                )
             event = await self._next_event()
         if type(event) is not h11.EndOfMessage:
             raise self._connection_lost(
--- a/guavagap/http1.py
+++ b/guavagap/http1.py
@@ -4,6 +4,7 @@
 import socket as stdlib_socket
 from typing import NamedTuple
 
+import curio
 import h11
 from h11._headers import Headers as ParsedHeaders
 
@@ -30,6 +31,9 @@
 # Events are immutable, and most messages end with this one.
 END_OF_MESSAGE = h11.EndOfMessage()
 MAX_HEADER_BYTES = 32_768
+# A peer that sends faster than its bytes are read never blocks the reader, so the
+# reader gives way to other tasks and to its own timeout after this many bytes.
+YIELD_AFTER_BYTES = 262_144
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -75,13 +79,14 @@
         is_head_folded: whether the latest request head used obsolete line folding.
     """
 
-    __slots__ = ("sock", "h11", "is_head_folded", "_is_server")
+    __slots__ = ("sock", "h11", "is_head_folded", "_is_server", "_unyielded_bytes")
 
     def __init__(self, sock, role):
         self.sock = sock
         self.h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
         self.is_head_folded = False
         self._is_server = role is h11.SERVER
+        self._unyielded_bytes = 0
 
     async def next_event(self):
         """Return the next event from the peer, reading as needed.
@@ -95,12 +100,21 @@
             event = protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = await self.sock.recv(RECEIVE_BYTES)
+            data = await self._receive()
             is_head = self._is_server and protocol.their_state is h11.IDLE
             protocol.receive_data(data)
             if is_head:
                 self._detect_line_folding()
 
+    async def _receive(self) -> bytes:
+        """Receive bytes, giving way to other tasks after ``YIELD_AFTER_BYTES``."""
+        if self._unyielded_bytes >= YIELD_AFTER_BYTES:
+            self._unyielded_bytes = 0
+            await curio.sleep(0)
+        data = await self.sock.recv(RECEIVE_BYTES)
+        self._unyielded_bytes += len(data)
+        return data
+
     def buffered_events(self) -> list:
         """Return the events that are available without reading, oldest first."""
         events = []
