Join within the failure domain, and wake no watch for what others push

Change: entries are named by failure domain, and a joining node contacts mostly its own; two members of each failure domain compare tables with other ones, the rest with those; two thirds of gossip stay inside. No watch in the second after the first listing; a watch that entries woke pauses 0.6 s. Few nodes try to create the mesh key. An entry lasts 30 s and is renewed each 10 s. A complete listing without the own entry means that it is lost: that was missed after the store had forgotten its history.

--- a/guavagap/members.py
+++ b/guavagap/members.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from guavagap.messages import BackendServer, Member, MemberState
+from guavagap.rendezvous import rendezvous_order
 
 __all__ = ["MemberTable", "Suspicion", "is_newer"]
 
@@ -73,6 +74,8 @@
         self._departed_at_s: dict[str, float] = {}
         self._domain_ids: list[str] = []
         self._domain_ids_version = -1
+        self._ranked_ids: list[str] = []
+        self._local_rank = 0
 
     @property
     def digest(self) -> int:
@@ -145,6 +148,20 @@
             self._domain_ids_version = self.version
         return self._domain_ids
 
+    def local_domain_rank(self) -> int:
+        """Return the local node's position among its failure domain's alive members.
+
+        All nodes agree on their order, so few of them can act for the others.
+        """
+        members = self.local_domain_ids()
+        if members is not self._ranked_ids:
+            self._ranked_ids = members
+            order = rendezvous_order(self.local.failure_domain, members, str)
+            local_id = self.local.node_id
+            is_alive = local_id in order
+            self._local_rank = order.index(local_id) if is_alive else len(order)
+        return self._local_rank
+
     def merge(self, candidate: Member, should_gossip: bool = True) -> bool:
         """Apply a row if it is newer; return whether the table changed.
 
--- a/guavagap/membership.py
+++ b/guavagap/membership.py
@@ -25,7 +25,12 @@
 from guavagap.tasks import TaskScope
 from guavagap.tcp import open_udp_socket
 
-__all__ = ["CROSS_DOMAIN_PROBE_SHARE", "DatagramHeader", "Membership"]
+__all__ = [
+    "CROSS_DOMAIN_PROBE_SHARE",
+    "DatagramHeader",
+    "Membership",
+    "choose_gossip_targets",
+]
 
 log = get_logger()
 
@@ -34,6 +39,7 @@
 INDIRECT_PROBES = 3
 ACK_TIMEOUT_SHARE = 0.4
 CROSS_DOMAIN_PROBE_SHARE = 1 / 8
+CROSS_DOMAIN_GOSSIP_SHARE = 1 / 3
 RECONNECT_PROBABILITY = 1 / 10
 # A probe waits for at most two acknowledgement timeouts, less than one interval. If it
 # takes longer than this many intervals, this process was stopped meanwhile.
@@ -247,9 +253,14 @@
         return responded
 
     async def gossip_now(self, count: int) -> None:
-        """Send pending updates to random members without waiting for a probe."""
-        members = self.table.peers_in_state(MemberState.ALIVE)
-        for member in random.sample(members, min(count, len(members))):
+        """Send pending updates to random members without waiting for a probe.
+
+        Most are members of the local failure domain, where traffic is free; probes
+        carry the updates on to the others.
+        """
+        peers = self.table.peers_in_state(MemberState.ALIVE)
+        local_domain = self.table.local.failure_domain
+        for member in choose_gossip_targets(peers, local_domain, count):
             await self.send(parse_address(member.mesh_address), DatagramKind.GOSSIP, 0)
 
     async def probe_forever(self) -> None:
@@ -357,3 +368,15 @@
 async def _wait_for(event: curio.Event) -> bool:
     await event.wait()
     return True
+
+
+def choose_gossip_targets(
+    peers: list[Member], failure_domain: str, count: int
+) -> list[Member]:
+    """Return random members to gossip to, most of them of one failure domain."""
+    local = [row for row in peers if row.failure_domain == failure_domain]
+    remote = [row for row in peers if row.failure_domain != failure_domain]
+    remote_count = max(count - len(local), int(count * CROSS_DOMAIN_GOSSIP_SHARE))
+    targets = random.sample(remote, min(remote_count, len(remote)))
+    local_count = min(count - len(targets), len(local))
+    return targets + random.sample(local, local_count)
--- a/guavagap/metadata_store.py
+++ b/guavagap/metadata_store.py
@@ -57,10 +57,15 @@
 
 
 class Listing(NamedTuple):
-    """Items or changes, and the revision from which a watch continues."""
+    """Items or changes, and the revision from which a watch continues.
+
+    Attributes:
+        is_complete: whether ``items`` are all items rather than the latest changes.
+    """
 
     items: list[MirrorItem]
     as_of: int
+    is_complete: bool = False
 
 
 class StoreItem(NamedTuple):
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -55,6 +55,8 @@
 # A shorter interval applies while synchronisation fails or finds new members: the peer
 # may have started as recently as this node and still lack members itself.
 SYNC_RETRY_INTERVAL_S = 0.2
+REMOTE_SYNCS_PER_DOMAIN = 2
+MAX_REMOTE_MISMATCH_S = 10.0
 MEMBER_GOSSIP_FAN_OUT = 6
 LEAVE_GOSSIP_FAN_OUT = 12
 
@@ -141,6 +143,7 @@
         self.evaluator = Evaluator(self)
         self.is_synchronised = False
         self._next_sync_s = 0.0
+        self._remote_match_at_s = time.monotonic()
         self._is_gossip_requested = False
         self._is_syncing = False
 
@@ -165,13 +168,31 @@
             await self.scope.spawn(self.sync_notices, datagram.sender_id)
         if datagram.members_digest == self.table.digest:
             self.is_synchronised = True
+            if not self._is_local_member(datagram.sender_id):
+                self._remote_match_at_s = time.monotonic()
         elif self._is_sync_due(datagram.sender_id):
             self._next_sync_s = time.monotonic() + SYNC_INTERVAL_S
             await self.scope.spawn(self.sync_members, datagram.sender_id)
 
+    def _is_local_member(self, node_id: str) -> bool:
+        row = self.table.get(node_id)
+        return row is not None and row.failure_domain == self.settings.failure_domain
+
     def _is_sync_due(self, node_id: str) -> bool:
         is_known = self.table.get(node_id) is not None
-        return is_known and time.monotonic() >= self._next_sync_s
+        if not is_known or time.monotonic() < self._next_sync_s:
+            return False
+        return self._is_local_member(node_id) or self._is_remote_sync_due()
+
+    def _is_remote_sync_due(self) -> bool:
+        """Return whether to fetch rows from another failure domain, where it is billed.
+
+        A few members of each failure domain do, and the others compare their tables
+        with those; any does when its table has differed from all others for long.
+        """
+        if self.table.local_domain_rank() < REMOTE_SYNCS_PER_DOMAIN:
+            return True
+        return time.monotonic() - self._remote_match_at_s > MAX_REMOTE_MISMATCH_S
 
     async def sync_members(self, node_id: str) -> None:
         """Fetch the member rows of a peer that differ from the local ones."""
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -32,7 +32,12 @@
 from guavagap.settings import Settings
 from guavagap.store_relay import StoreRelay
 
-__all__ = ["OperatorAdapter", "OperatorDeployment", "obtain_mesh_key"]
+__all__ = [
+    "OperatorAdapter",
+    "OperatorDeployment",
+    "choose_entries",
+    "obtain_mesh_key",
+]
 
 log = get_logger()
 
@@ -46,8 +51,8 @@
 ENTRY_PREFIX = "mesh/node/"
 # An entry survives a short outage of the store and expires soon after its node
 # terminates.
-ENTRY_TTL_S = 12.0
-ENTRY_RENEWAL_INTERVAL_S = 4.0
+ENTRY_TTL_S = 30.0
+ENTRY_RENEWAL_INTERVAL_S = 10.0
 ENTRY_CHECK_INTERVAL_S = 0.5
 MAX_ENTRY_RETRY_DELAY_S = 1.0
 INTRODUCE_INTERVAL_S = 0.3
@@ -56,8 +61,15 @@
 JOIN_TIMEOUT_S = 1.0
 KEY_BACKOFF_FIRST_S = 0.1
 KEY_BACKOFF_LIMIT_S = 1.0
-# Enough contacts for membership to spread even if some of them are stopped.
+# When all nodes start for the first time, few of them should create the key and the
+# others read it. The share that creates it doubles in each round, so a single node
+# does so within a second.
+FIRST_CREATOR_SHARE = 1 / 128
+KEY_ROUND_INTERVAL_S = 0.12
+# Enough contacts for membership to spread even if some of them are stopped; few in
+# other failure domains, where traffic is billed.
 MAX_INTRODUCTIONS = 6
+MAX_REMOTE_INTRODUCTIONS = 2
 # Clients check readiness once a second and detect within two checks that a node is
 # not ready.
 ACCEPT_GRACE_S = 2.4
@@ -195,7 +207,13 @@
 
     def _on_listing(self, listing: Listing) -> None:
         """Record the entries of other nodes, and the loss of the local entry."""
-        local_key = ENTRY_PREFIX + self._settings.node_id
+        local_key = _entry_key(self._settings)
+        if listing.is_complete:
+            provider = self._entries.get(KEY_PROVIDER_ENTRY)
+            self._entries = {} if provider is None else {KEY_PROVIDER_ENTRY: provider}
+            keys = {item.key for item in listing.items}
+            is_written = 0 < self._entry_revision <= listing.as_of
+            self._is_entry_lost |= is_written and local_key not in keys
         for item in listing.items:
             if not item.key.startswith(ENTRY_PREFIX):
                 continue
@@ -238,8 +256,7 @@
 
     async def _introduce(self) -> None:
         membership, table = self._node.membership, self._node.table
-        count = min(MAX_INTRODUCTIONS, len(self._entries))
-        for key in random.sample(list(self._entries), count):
+        for key in choose_entries(list(self._entries), self._settings.failure_domain):
             try:
                 address = parse_address(self._entries[key].decode("ascii"))
             except ValueError as error:
@@ -276,7 +293,7 @@
             return lease
         if lease is None:
             lease = await store.grant_lease(ENTRY_TTL_S)
-        key = ENTRY_PREFIX + self._settings.node_id
+        key = _entry_key(self._settings)
         address = format_address(self._settings.mesh_address).encode()
         outcome = await store.transact({}, [Write(key, address, lease.lease_id)])
         self._entry_revision = outcome.revision or 0
@@ -285,6 +302,27 @@
         return lease
 
 
+def choose_entries(keys: list[str], failure_domain: str) -> list[str]:
+    """Return keys of entries to contact, most of them of one failure domain."""
+    prefix = _entry_prefix(failure_domain)
+    local = [key for key in keys if key.startswith(prefix)]
+    remote = [key for key in keys if not key.startswith(prefix)]
+    remote_count = max(MAX_INTRODUCTIONS - len(local), MAX_REMOTE_INTRODUCTIONS)
+    chosen = random.sample(remote, min(remote_count, len(remote)))
+    local_count = min(MAX_INTRODUCTIONS - len(chosen), len(local))
+    return chosen + random.sample(local, local_count)
+
+
+def _entry_prefix(failure_domain: str) -> str:
+    """Return the prefix of the entries of a failure domain."""
+    return f"{ENTRY_PREFIX}{failure_domain}/"
+
+
+def _entry_key(settings: Settings) -> str:
+    """Return the key of the local entry."""
+    return _entry_prefix(settings.failure_domain) + settings.node_id
+
+
 async def obtain_mesh_key(
     store: MetadataStore, mesh_address: Address
 ) -> KeyOffer | StoredKey:
@@ -299,25 +337,32 @@
     """Return the mesh key, and create it if there is none.
 
     A conditional write ensures that only one of several concurrent creators succeeds;
-    the others read its key. Retries while the store is unreachable.
+    the others get its key. Retries while the store is unreachable.
     """
     backoff = Backoff(KEY_BACKOFF_FIRST_S, KEY_BACKOFF_LIMIT_S)
-    # The key never changes, so a stale read suffices, at a tenth of the cost.
-    is_stale_allowed = True
+    creator_share = FIRST_CREATOR_SHARE
     while True:
         try:
-            item, _ = await store.get(MESH_KEY, is_stale_allowed)
-            if item is None and is_stale_allowed:
-                is_stale_allowed = False
-                continue
+            # The key never changes, so a stale read suffices, at a tenth of the cost.
+            item, _ = await store.get(MESH_KEY, is_stale_allowed=True)
             if item is not None:
                 return StoredKey(item.value)
-            key_bytes = os.urandom(MESH_KEY_BYTES)
-            outcome = await store.transact({MESH_KEY: 0}, [Write(MESH_KEY, key_bytes)])
-            if outcome.revision is not None:
-                return StoredKey(key_bytes)
+            if random.random() < creator_share:
+                return await _create_key(store)
+            creator_share *= 2
+            await curio.sleep(KEY_ROUND_INTERVAL_S)
         except GuavagapError as error:
             log.warning(
                 "mesh key not obtained", kind=error.kind.value, why=error.detail
             )
-        await curio.sleep(backoff.next_s())
+            await curio.sleep(backoff.next_s())
+
+
+async def _create_key(store: MetadataStore) -> StoredKey:
+    """Create the mesh key; return the current one if another node was first."""
+    key_bytes = os.urandom(MESH_KEY_BYTES)
+    outcome = await store.transact({MESH_KEY: 0}, [Write(MESH_KEY, key_bytes)])
+    if outcome.revision is not None:
+        return StoredKey(key_bytes)
+    (item,) = outcome.current_items
+    return StoredKey(item.value)
--- a/guavagap/platform/store.py
+++ b/guavagap/platform/store.py
@@ -95,7 +95,7 @@
             # the first page.
             as_of = _int_field(value, "asOf") if as_of is None else as_of
             if not value.get("hasMore") or not page:
-                return Listing(items, as_of)
+                return Listing(items, as_of, is_complete=True)
             after = page[-1].key
 
     async def watch_prefix(self, prefix: str, after: int, wait_s: float) -> Listing:
--- a/guavagap/store_relay.py
+++ b/guavagap/store_relay.py
@@ -18,7 +18,6 @@
 from guavagap.logs import get_logger
 from guavagap.members import MemberTable
 from guavagap.metadata_store import Listing, MetadataStore
-from guavagap.rendezvous import rendezvous_order
 from guavagap.tasks import TaskScope
 
 __all__ = ["StoreRelay"]
@@ -36,9 +35,14 @@
 # A connection that went silent is detected when the watch times out.
 WATCH_WAIT_S = 2.5
 WATCH_RESPONSE_TIMEOUT_S = 1.0
-# Changes within this time are received by one watch instead of many. Each watch is
-# billed, and a change has seconds to take effect.
-WATCH_PAUSE_S = 0.1
+# Changes within these times are received by one watch instead of many. Each watch is
+# billed, and a change of the configuration has seconds to take effect. Changes of
+# entries alone come in large numbers when many nodes start, and are not urgent.
+WATCH_PAUSE_S = 0.2
+ENTRY_WATCH_PAUSE_S = 0.6
+# After its first listing, a node is usually contacted by a relay within this time, or
+# knows that it is one.
+JOIN_PAUSE_S = 1.0
 STORE_CONTACT_TIMEOUT_S = WATCH_WAIT_S + WATCH_RESPONSE_TIMEOUT_S
 BACKOFF_FIRST_S = 0.2
 BACKOFF_LIMIT_S = 1.5
@@ -80,8 +84,7 @@
         self._last_revision: int | None = None
         self._store_contact_at_s = float("-inf")
         self._is_store_unreachable = False
-        self._members: list[str] = []
-        self._rank = 0
+        self._joined_at_s: float | None = None
 
     async def run(self, scope: TaskScope) -> None:
         """Watch the store whenever this is necessary, until cancelled.
@@ -92,9 +95,10 @@
         await scope.spawn_supervised(self._send_relay_heartbeats)
         backoff = Backoff(BACKOFF_FIRST_S, BACKOFF_LIMIT_S)
         while True:
-            self._update_rank()
-            self._set_relay_role(self._rank < RELAYS_PER_DOMAIN)
-            if not self.is_active and self._has_live_relay():
+            rank = self._table.local_domain_rank()
+            self._set_relay_role(rank < RELAYS_PER_DOMAIN)
+            has_relay = not self.is_active and self._has_live_relay()
+            if has_relay or self._is_joining():
                 await curio.sleep(IDLE_CHECK_S)
                 continue
             try:
@@ -109,16 +113,6 @@
         """Whether this node has listed the whole store at least once."""
         return self._last_revision is not None
 
-    def _update_rank(self) -> None:
-        """Update this node's position among the candidates of its failure domain."""
-        local, members = self._table.local, self._table.local_domain_ids()
-        if members is self._members:
-            return
-        self._members = members
-        order = rendezvous_order(local.failure_domain, members, str)
-        is_alive = local.node_id in order
-        self._rank = order.index(local.node_id) if is_alive else RELAYS_PER_DOMAIN
-
     def _set_relay_role(self, is_active: bool) -> None:
         if is_active == self.is_active:
             return
@@ -130,6 +124,12 @@
         age_s = time.monotonic() - self._disseminator.relay_seen_at_s
         return age_s < RELAY_TIMEOUT_S and self._last_revision is not None
 
+    def _is_joining(self) -> bool:
+        """Return whether the first listing is so recent that no watch is needed yet."""
+        if self._joined_at_s is None:
+            return False
+        return time.monotonic() - self._joined_at_s < JOIN_PAUSE_S
+
     async def watch_once(self) -> None:
         """Fetch the next changes from the store, or all items the first time.
 
@@ -138,6 +138,7 @@
         """
         if self._last_revision is None:
             listing = await self._source.list_prefix(ALL_KEYS_PREFIX)
+            self._joined_at_s = time.monotonic()
         else:
             # Skip the changes that other nodes have pushed already.
             after = max(self._last_revision, self._configuration.epoch)
@@ -152,9 +153,11 @@
                 listing = await self._source.list_prefix(ALL_KEYS_PREFIX)
         self._record_store_contact(listing)
         self._on_listing(listing)
-        await self._mirror(listing)
-        if listing.items:
+        is_changed = await self._mirror(listing)
+        if is_changed:
             await curio.sleep(WATCH_PAUSE_S)
+        elif listing.items:
+            await curio.sleep(ENTRY_WATCH_PAUSE_S)
 
     def _record_store_contact(self, listing: Listing) -> None:
         self._last_revision = listing.as_of
@@ -169,10 +172,14 @@
             self._is_store_unreachable = True
             log.warning("store unreachable", kind=error.kind.value, why=error.detail)
 
-    async def _mirror(self, listing: Listing) -> None:
+    async def _mirror(self, listing: Listing) -> bool:
+        """Apply and push changes of the configuration; return whether there are any."""
         delta = self._configuration.make_delta(listing.items)
-        if delta is not None and self._configuration.apply(delta):
+        if delta is None:
+            return False
+        if self._configuration.apply(delta):
             await self._disseminator.push_as_root(delta)
+        return True
 
     async def _send_relay_heartbeats(self) -> None:
         """Send heartbeats while this relay's view of the store is current.
@@ -185,7 +192,8 @@
             now_s = time.monotonic()
             is_current = now_s - self._store_contact_at_s < STORE_CONTACT_TIMEOUT_S
             silence_s = now_s - self._disseminator.relay_seen_at_s
-            is_due = self._rank == 0 or silence_s > MAX_RELAY_SILENCE_S
+            is_first = self._table.local_domain_rank() == 0
+            is_due = is_first or silence_s > MAX_RELAY_SILENCE_S
             if self.is_active and is_current and is_due:
                 await self._disseminator.push_heartbeat()
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,6 +7,7 @@
 
 from guavagap.dissemination import FAN_OUT, push_children, push_order
 from guavagap.members import MemberTable
+from guavagap.membership import choose_gossip_targets
 from guavagap.messages import Member, MemberState
 
 
@@ -111,6 +112,38 @@
             self.assertNotIn("n1", [row.node_id for row in table.next_updates(4)])
 
 
+class FailureDomainTests(testtools.TestCase):
+    def test_members_agree_on_their_ranks(self):
+        ids = [f"n{number}" for number in range(9)]
+        ranks = []
+        for local_id in ids:
+            table = MemberTable(make_member(local_id), _Clock())
+            table.merge(make_member("elsewhere", domain="e"))
+            for node_id in ids:
+                table.merge(make_member(node_id))
+            ranks.append(table.local_domain_rank())
+        self.assertEqual(list(range(9)), sorted(ranks))
+
+    def test_rank_follows_the_members(self):
+        table = MemberTable(make_member("local"), _Clock())
+        self.assertEqual(0, table.local_domain_rank())
+        for number in range(9):
+            table.merge(make_member(f"n{number}"))
+        self.assertLess(0, table.local_domain_rank())
+        for number in range(9):
+            table.merge(make_member(f"n{number}", 2, MemberState.LEFT))
+        self.assertEqual(0, table.local_domain_rank())
+
+    def test_most_gossip_stays_in_the_failure_domain(self):
+        peers = [make_member(f"l{number}") for number in range(20)]
+        peers += [make_member(f"r{number}", domain="e") for number in range(60)]
+        chosen = choose_gossip_targets(peers, "d", 6)
+        self.assertEqual(6, len({row.node_id for row in chosen}))
+        self.assertEqual(2, sum(row.failure_domain == "e" for row in chosen))
+        self.assertEqual(6, len(choose_gossip_targets(peers[20:], "d", 6)))
+        self.assertEqual(6, len(choose_gossip_targets(peers[:20], "d", 6)))
+
+
 class FanOutTests(testtools.TestCase):
     @given(strategies.integers(1, 200), strategies.integers(1, 50))
     def test_every_member_is_reached_exactly_once(self, size, epoch):
--- a/tests/test_operator_changes.py
+++ b/tests/test_operator_changes.py
@@ -74,7 +74,7 @@
         fleet.post_platform_control("/compact")
         fleet.post_platform_control("/revoke/mesh%2Fnode%2F")
         wait_until(
-            lambda: fleet.read_platform_item("mesh/node/a1"), what="entry written"
+            lambda: fleet.read_platform_item("mesh/node/za/a1"), what="entry written"
         )
         fleet.configure(9, [*DEFAULT_ROUTES, RouteSpec("/new/", {"shop": 1})])
         wait_until(lambda: fleet.request("b1", "/new/x", "q").status == 200)
--- a/tests/test_operator_deployment.py
+++ b/tests/test_operator_deployment.py
@@ -1,13 +1,45 @@
-"""Tests of how a node obtains the mesh key in the operator deployment."""
+"""Tests of how a node obtains the mesh key and finds others by their entries."""
+
+from collections import Counter
+from contextlib import AsyncExitStack
+from types import SimpleNamespace
+
+import curio
+import testtools
 
 from guavagap.addresses import Address
-from guavagap.operator_deployment import obtain_mesh_key
+from guavagap.metadata_store import Lease, Listing, MirrorItem, TransactionOutcome
+from guavagap.operator_deployment import (
+    MAX_INTRODUCTIONS,
+    MAX_REMOTE_INTRODUCTIONS,
+    OperatorDeployment,
+    StoredKey,
+    choose_entries,
+    obtain_mesh_key,
+)
 from guavagap.platform.store import open_store_client
 from standins.fleet import allocate_ports
 from standins.platform_server import open_platform_server
 from tests.cases import AsyncTestCase
 
 
+class _Store:
+    """A store that accepts every call."""
+
+    def __init__(self):
+        self.written = curio.Event()
+
+    async def grant_lease(self, ttl_s):
+        return Lease(1, ttl_s)
+
+    async def renew_lease(self, lease_id):
+        return True
+
+    async def transact(self, expected, writes):
+        await self.written.set()
+        return TransactionOutcome(1, [])
+
+
 class MeshKeyTests(AsyncTestCase):
     def test_nodes_share_one_key_and_later_nodes_use_stale_reads_only(self):
         async def case():
@@ -20,3 +52,71 @@
                     self.assertEqual({"stale_get": 1}, second.call_counts)
 
         self.run_async(case)
+
+    def test_few_of_many_nodes_that_start_at_once_create_the_key(self):
+        node_count = 40
+
+        async def case():
+            address, *mesh_addresses = (
+                Address("127.0.0.1", port) for port in allocate_ports(node_count + 1)
+            )
+            async with AsyncExitStack() as stack:
+                await stack.enter_async_context(open_platform_server(address))
+                clients = [
+                    await stack.enter_async_context(open_store_client(address))
+                    for _ in mesh_addresses
+                ]
+                async with curio.TaskGroup() as group:
+                    for client, mesh_address in zip(clients, mesh_addresses):
+                        await group.spawn(obtain_mesh_key, client, mesh_address)
+                self.assertEqual(1, len({key.key_bytes for key in group.results}))
+                return sum((client.call_counts for client in clients), Counter())
+
+        counts = self.run_async(case)
+        self.assertEqual({"stale_get", "transact"}, set(counts))
+        self.assertLess(counts["transact"], node_count / 2)
+
+
+class EntryTests(testtools.TestCase):
+    def test_entry_missing_from_a_complete_listing_is_written_again(self):
+        for is_complete, items in ((True, []), (False, [self.tombstone()])):
+            store = _Store()
+
+            async def case():
+                task = await curio.spawn(deployment._maintain_entry)
+                await store.written.wait()
+                store.written.clear()
+                deployment._on_listing(Listing([], 1))
+                self.assertFalse(deployment._is_entry_lost)
+                deployment._on_listing(Listing(items, 2, is_complete))
+                self.assertTrue(deployment._is_entry_lost)
+                await curio.timeout_after(30, store.written.wait)
+                await task.cancel()
+
+            settings = SimpleNamespace(
+                node_id="n1",
+                failure_domain="a",
+                mesh_address=Address("127.0.0.1", 1),
+            )
+            adapter = SimpleNamespace(dialect=None, decode_item=None, store=store)
+            deployment = OperatorDeployment(settings, adapter, StoredKey(b""))
+            curio.run(case)
+
+    def tombstone(self) -> MirrorItem:
+        return MirrorItem("mesh/node/a/n1", 2, None)
+
+    def keys(self, failure_domain: str, count: int) -> list[str]:
+        return [f"mesh/node/{failure_domain}/n{index}" for index in range(count)]
+
+    def test_most_contacts_are_in_the_local_failure_domain(self):
+        chosen = choose_entries([*self.keys("a", 30), *self.keys("b", 90)], "a")
+        self.assertEqual(MAX_INTRODUCTIONS, len(set(chosen)))
+        remote = [key for key in chosen if key.startswith("mesh/node/b/")]
+        self.assertEqual(MAX_REMOTE_INTRODUCTIONS, len(remote))
+
+    def test_first_node_of_its_failure_domain_contacts_others(self):
+        chosen = choose_entries(self.keys("b", 90), "a")
+        self.assertEqual(MAX_INTRODUCTIONS, len(set(chosen)))
+
+    def test_local_failure_domain_is_enough(self):
+        self.assertEqual(3, len(choose_entries(self.keys("a", 3), "a")))
