Keep a link open when one of its sends is cancelled midway

Cause: found by reading. A request that was cancelled while its frame was written (a deadline, a caller that left) marked the link as broken, so all other requests on it ended as link_lost, which may have run. Ruled out: cancellation before the first byte, which waits for the lock and sends nothing. Change: the rest of the frame is kept and sent before the next one, up to 4 MiB. The reset of an aborted stream waits 50 ms at most, since it may now wait for a peer that reads nothing. Before: test_send_that_is_cancelled_midway_leaves_the_link_usable failed (link_lost); after: passes.

--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -24,6 +24,9 @@
 MAX_EAGER_BODY_BYTES = 512
 # Several times the longest delay between regions. The slot is idle during the wait.
 DEFERRED_BODY_TIMEOUT_S = 0.5
+# The caller's response does not wait longer for a peer that does not read. The request
+# then ends there at its deadline.
+ABORT_TIMEOUT_S = 0.05
 
 
 def _to_ms(duration_s: float) -> int:
@@ -157,7 +160,8 @@
     async def abort(self):
         self._stream.close()
         try:
-            await self._stream.send_reset(ErrorKind.CALLER_GONE, "cancelled", False)
+            async with curio.ignore_after(ABORT_TIMEOUT_S):
+                await self._stream.send_reset(ErrorKind.CALLER_GONE, "cancelled", False)
         except GuavagapError:
             # The link is closed, and the stream with it.
             pass
--- a/guavagap/link.py
+++ b/guavagap/link.py
@@ -41,6 +41,8 @@
 NONCE_BYTES = 16
 MAC_BYTES = 16
 MAX_FRAME_BYTES = 2 * 1024 * 1024
+# Bytes of cancelled sends that are kept for a peer that does not read.
+MAX_UNSENT_BYTES = 2 * MAX_FRAME_BYTES
 HANDSHAKE_TIMEOUT_S = 3.0
 # Several times the longest latency between regions. A node that takes longer is
 # down, stopped or unreachable, and requests should use another path.
@@ -90,6 +92,7 @@
         self._counts = counts
         self._buffer = bytearray()
         self._send_lock = curio.Lock()
+        self._unsent = b""
         self._send_key = self._receive_key = None
         self._send_sequence = self._receive_sequence = 0
         self.is_broken = False
@@ -98,7 +101,11 @@
         self._send_key, self._receive_key = send_key, receive_key
 
     async def send(self, message) -> None:
-        """Send one frame; a failed or cancelled send breaks the channel."""
+        """Send one frame, after the rest of one whose send was cancelled.
+
+        A request that is cancelled in the middle of a frame must not end the other
+        requests of the link. A failed send breaks the channel.
+        """
         content = message.body if isinstance(message, _BODY_MESSAGES) else b""
         if content:
             message = message._replace(body=b"")
@@ -114,17 +121,25 @@
             mac = _frame_mac(self._send_key, self._send_sequence, head, content)
             self._send_sequence += 1
             size = _LENGTH.pack(len(head) + len(content))
-            packet = b"".join((size, mac, head, content))
-            self.is_broken = True
-            try:
-                await self.sock.sendall(packet)
-            except OSError as error:
-                raise GuavagapError(ErrorKind.LINK_LOST, repr(error)) from None
-            self.is_broken = False
+            packet = b"".join((self._unsent, size, mac, head, content))
+            await self._send_packet(packet)
         name = type(message).__name__
-        self._counts.sent_bytes[name] += len(packet)
+        self._counts.sent_bytes[name] += FRAME_PREFIX_BYTES + len(head) + len(content)
         self._counts.sent_frames[name] += 1
 
+    async def _send_packet(self, packet: bytes) -> None:
+        """Send bytes of whole frames; keep those that a cancelled send leaves."""
+        try:
+            await self.sock.sendall(packet)
+        except OSError as error:
+            self.is_broken = True
+            raise GuavagapError(ErrorKind.LINK_LOST, repr(error)) from None
+        except curio.CancelledError as error:
+            self._unsent = packet[error.bytes_sent :]
+            self.is_broken = len(self._unsent) > MAX_UNSENT_BYTES
+            raise
+        self._unsent = b""
+
     async def receive(self):
         """Return the next message.
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,5 +1,6 @@
 """Tests of links, datagrams and their codec, also against malformed input."""
 
+import itertools
 from collections import Counter
 
 import curio
@@ -11,6 +12,7 @@
 from guavagap.codec import decode_datagram, decode_frame, encode_frame
 from guavagap.datagrams import ReplayWindow, open_datagram, seal_datagram
 from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.forwarding import StreamUpstream
 from guavagap.link import LinkIdentity, TrafficCounts, accept_link, dial_link
 from guavagap.messages import BackendServer, Datagram, DeltaReply, DeltaRequest, Member
 from guavagap.stream_messages import StreamAnswer, StreamData, StreamReset
@@ -19,6 +21,7 @@
 from tests.cases import AsyncTestCase
 
 KEY = b"0123456789abcdef"
+SEND_TIMEOUT_S = 0.2
 SAMPLE_MEMBER = Member(
     "n1", 5, 0, "r", "d", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", True,
     (BackendServer("s", "cart", "v1", "main", "127.0.0.1:4", 9, 110),),
@@ -200,6 +203,54 @@
                 await upstream.sendall(bytes(frame))
                 previous = frame
 
+    def test_send_that_is_cancelled_midway_leaves_the_link_usable(self):
+        async def case(scope):
+            may_read = curio.Event()
+
+            async def serve(sock):
+                identity = LinkIdentity("server", KEY)
+                async with accept_link(sock, identity, _counts()) as link:
+                    await may_read.wait()
+                    await link.run(self.reply_to_request)
+
+            address = await self.listen(scope, serve)
+            identity = LinkIdentity("client", KEY)
+            async with dial_link(address, identity, _counts()) as link:
+                sent = await self.fill(link)
+                await may_read.set()
+                reader = await curio.spawn(self.run_until_closed, link, daemon=True)
+                reply = await link.call(DeltaRequest(0, 1), 30.0)
+                await reader.cancel(blocking=False)
+            self.assertEqual(b"x", reply.compressed)
+            self.assertLess(0, sent)
+
+        self.run_in_scope(case)
+
+    async def fill(self, link) -> int:
+        """Send bodies until one does not fit into the buffers of the sockets."""
+        for sent in itertools.count(1):
+            message = StreamData(9, bytes(1024 * 1024), False)
+            try:
+                await curio.timeout_after(SEND_TIMEOUT_S, link.send, message)
+            except curio.TaskTimeout:
+                return sent
+
+    def test_abort_of_a_stream_does_not_wait_for_a_peer_that_reads_nothing(self):
+        async def case(scope):
+            async def serve(sock):
+                identity = LinkIdentity("server", KEY)
+                async with accept_link(sock, identity, _counts()):
+                    await curio.sleep(3600)
+
+            address = await self.listen(scope, serve)
+            identity = LinkIdentity("client", KEY)
+            async with dial_link(address, identity, _counts()) as link:
+                await self.fill(link)
+                upstream = StreamUpstream(link.open_stream(), "i1", None, False)
+                await curio.timeout_after(30.0, upstream.abort)
+
+        self.run_in_scope(case)
+
     def test_link_is_idle_only_without_calls_and_streams(self):
         async def case(scope):
             address = await self.listen(scope, self.serve_echo)
