Tell the next evaluator of a rollout at once that the store is lost

The evaluator handed over at 3.9 s, its successor, which had lost the store too, did so at 8.4 s, and the third decided at 10.2 s, so the rollout ordered for 2 to 16 s was not done in time. The rows that say so spread by probes only, one a second, among those of nodes that were joining. Ruled out: evidence (28 requests were enough for the first stage), slots, the store calls of the third node. Change: a node that loses the store sends its row to its successors and requests gossip.

--- a/guavagap/evaluator.py
+++ b/guavagap/evaluator.py
@@ -13,11 +13,12 @@
 
 import curio
 
+from guavagap.addresses import parse_address
 from guavagap.errors import GuavagapError
 from guavagap.evidence import EvidenceTable, EvidenceWindows
 from guavagap.head import Rollout
 from guavagap.logs import get_logger
-from guavagap.messages import EvidenceReport, EvidenceRow, Notice
+from guavagap.messages import DatagramKind, EvidenceReport, EvidenceRow, Notice
 from guavagap.rendezvous import rendezvous_order
 from guavagap.rollouts import (
     FULL_WEIGHT_PERMILLE,
@@ -55,7 +56,7 @@
             await curio.sleep(self._repository.interval_s)
             await self._repository.start_pending(self._is_evaluator)
             active_rollouts = self._repository.active_rollouts()
-            self._publish_store_loss(
+            await self._publish_store_loss(
                 [*active_rollouts, *self._repository.pending_rollout_services()]
             )
             await self._send_local_evidence(active_rollouts)
@@ -87,24 +88,37 @@
         node_ids = [row.node_id for row in rows if row.failure_domain == domain]
         return rendezvous_order(domain, node_ids, str)[0]
 
-    def _publish_store_loss(self, services: list[str]) -> None:
+    async def _publish_store_loss(self, services: list[str]) -> None:
         """Publish whether the store is unavailable, so that no decision can be written.
 
-        Meanwhile another node evaluates the services of this one. A node that evaluates
-        no service does not publish that the store is unavailable.
+        Meanwhile another node evaluates the services of this one, and is told at once:
+        gossip alone takes seconds to reach it, and it may have lost the store as well.
+        A node that evaluates no service does not publish that the store is unavailable.
         """
         is_lost, local_row = self._repository.is_store_lost, self._node.table.local
         if is_lost == local_row.is_store_lost:
             return
-        if is_lost and not any(map(self._is_evaluator, services)):
+        evaluated = [service for service in services if self._is_evaluator(service)]
+        if is_lost and not evaluated:
             return
         self._node.table.publish(is_store_lost=is_lost)
+        await self._notify_evaluators(evaluated)
         log.info(
             "store lost, evaluation handed over"
             if is_lost
             else "store reachable, evaluation resumed"
         )
 
+    async def _notify_evaluators(self, services: list[str]) -> None:
+        """Send the local row to the nodes that evaluate the services from now on."""
+        self._node.request_gossip()
+        for node_id in {self.evaluator_of(service) for service in services}:
+            row = self._node.table.get(node_id)
+            if node_id == self._node.settings.node_id or row is None:
+                continue
+            address = parse_address(row.mesh_address)
+            await self._node.membership.send(address, DatagramKind.GOSSIP, 0)
+
     def _is_evaluator(self, service: str) -> bool:
         return self.evaluator_of(service) == self._node.settings.node_id
 
