Tell refused callers to return when the backlog has shrunk to what they accept

Cause: Retry-After was 0.1 to 0.3 s at random, whatever the backlog. On runs of 60 ms with a target of 200 ms a caller lost its target by it; in a long overload nearly all callers came back to full queues. Change: scheduling/refusals.py decides the delay from the lowest excess among the backend servers that refused, spread up to twice; scheduling/waits.py holds the limits of waits, unchanged. Also: tables are compared inside a failure domain each second.

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -6,6 +6,7 @@
 were full does the request wait longer for a slot.
 """
 
+import random
 import time
 from collections import Counter
 from typing import Callable
@@ -15,6 +16,7 @@
 from guavagap.errors import ErrorKind, GuavagapError, error_spec
 from guavagap.exchange import (
     Attempt,
+    ForwardedRequest,
     ResponseHead,
     enforce_deadline,
     relay_exchange,
@@ -31,22 +33,17 @@
     may_have_reached_server,
     may_retry,
 )
+from guavagap.scheduling.refusals import (
+    choose_return_delay_s,
+    excess_wait_s,
+    expected_wait_s,
+)
+from guavagap.scheduling.waits import WaitState, max_wait_s
 
 __all__ = ["AttemptRunner"]
 
 log = get_logger()
 
-# Number of backend servers that are tried with a short wait before the final wait.
-MAX_SHORT_WAITS = 2
-# Limits of the wait for a slot. The first waits take a share of the target latency,
-# since other backend servers may have a free slot. The final wait lasts as long as
-# the target can still be met, at least a small share of the target, and never so
-# long that no time is left for the run.
-SHORT_WAIT_SHARE_OF_TARGET = 0.4
-FINAL_WAIT_MIN_SHARE_OF_TARGET = 0.2
-FINAL_WAIT_MAX_SHARE_OF_TIME_LEFT = 0.5
-# A run is assumed to take up to this multiple of the backend server's mean run time.
-RUN_TIME_MARGIN = 1.25
 # Links carry wait limits in whole milliseconds.
 MIN_WAIT_S = 0.001
 # A retry with less time left than this share of the target latency is not expected
@@ -54,25 +51,7 @@
 MIN_RETRY_TIME_SHARE_OF_TARGET = 0.3
 
 
-def final_wait_s(
-    target_s: float, slowness: float, waited_s: float, left_s: float
-) -> float:
-    """Return the limit of the final wait, once all backend servers tried were full.
-
-    A request that waits past its target takes a slot from one that could still meet
-    its own, so the wait ends when a mean run no longer fits into the target.
-
-    Args:
-        target_s: the target latency; 0 for none.
-        slowness: the backend server's mean run time as a share of the target.
-        waited_s: time since the request was received.
-        left_s: time until the deadline.
-    """
-    max_wait_s = FINAL_WAIT_MAX_SHARE_OF_TIME_LEFT * left_s
-    if not target_s:
-        return max_wait_s
-    spare_s = target_s * (1 - RUN_TIME_MARGIN * slowness) - waited_s
-    return min(max_wait_s, max(spare_s, FINAL_WAIT_MIN_SHARE_OF_TARGET * target_s))
+_REFUSAL_KINDS = (ErrorKind.SLOTS_TAKEN, ErrorKind.OVERLOADED)
 
 
 class _AttemptHistory:
@@ -83,6 +62,8 @@
         busy_ids: backend servers that refused the request with SLOTS_TAKEN.
         attempts: attempts that may have reached a backend server.
         placements: all failed attempts, including those that reached no server.
+        excess_wait_s: the lowest excess of the expected wait for a slot over the
+            accepted one, among the backend servers that refused the request.
         unknown_outcome: error of the latest attempt that may have run.
         withheld_response: failure response that was not passed on.
     """
@@ -92,6 +73,7 @@
         "busy_ids",
         "attempts",
         "placements",
+        "excess_wait_s",
         "unknown_outcome",
         "withheld_response",
     )
@@ -101,6 +83,7 @@
         self.busy_ids: set[str] = set()
         self.attempts = 0
         self.placements = 0
+        self.excess_wait_s: float | None = None
         self.unknown_outcome: GuavagapError | None = None
         self.withheld_response: ResponseHead | None = None
 
@@ -190,10 +173,16 @@
                     budget.record_success()
                     return
                 except GuavagapError as error:
+                    if error.kind in _REFUSAL_KINDS:
+                        _record_refusal(history, target, limited_exchange.request)
                     exchange = self._after_failure(
                         exchange, history, target, error, attempt, budget
                     )
             except GuavagapError as error:
+                if history.excess_wait_s is not None:
+                    error.retry_after_s = choose_return_delay_s(
+                        history.excess_wait_s, random
+                    )
                 is_started = exchange.downstream.is_response_started
                 is_caller_gone = error.kind is ErrorKind.CALLER_GONE
                 if history.withheld_response is None or is_started or is_caller_gone:
@@ -251,22 +240,20 @@
         if not self._node.is_forwarding_only:
             return exchange
         now_s = time.monotonic()
-        waited_s = now_s - exchange.started_s
         target_s = exchange.route.target_latency_s
-        busy_count = len(history.busy_ids)
-        if not busy_count or busy_count < self._short_wait_count(exchange, history):
-            wait_s = SHORT_WAIT_SHARE_OF_TARGET * target_s - waited_s
-        else:
-            left_s = exchange.request.deadline_s - now_s
-            wait_s = final_wait_s(target_s, target.health.slowness, waited_s, left_s)
-        wait_s = max(MIN_WAIT_S, wait_s)
-        request = exchange.request._replace(max_wait_s=wait_s)
-        return exchange._replace(request=request)
-
-    def _short_wait_count(self, exchange: Exchange, history: _AttemptHistory) -> int:
-        """Return how many backend servers to try before the final wait."""
-        candidates = self._node.router.count_targets(exchange.share, exchange.version)
-        return min(MAX_SHORT_WAITS, max(1, candidates - len(history.failed_ids)))
+        candidates = 0
+        if history.busy_ids:
+            candidates = self._node.router.count_targets(
+                exchange.share, exchange.version
+            ) - len(history.failed_ids)
+        state = WaitState(
+            now_s - exchange.started_s,
+            exchange.request.deadline_s - now_s,
+            len(history.busy_ids),
+            candidates,
+        )
+        wait_s = max(MIN_WAIT_S, max_wait_s(target_s, target.health.slowness, state))
+        return exchange._replace(request=exchange.request._replace(max_wait_s=wait_s))
 
     def _after_failure(
         self,
@@ -426,3 +413,16 @@
 
 def _to_ms(duration_s: float) -> int:
     return int(duration_s * 1000)
+
+
+def _record_refusal(
+    history: _AttemptHistory, target: Target, request: ForwardedRequest
+) -> None:
+    """Record the backlog of a backend server that refused a request."""
+    health = target.health
+    run_s = health.slowness * request.target_latency_s
+    load = health.load(time.monotonic())
+    wait_s = expected_wait_s(load, target.server.slots, run_s)
+    excess_s = excess_wait_s(wait_s, request.max_wait_s or 0.0)
+    if history.excess_wait_s is None or excess_s < history.excess_wait_s:
+        history.excess_wait_s = excess_s
--- a/guavagap/errors.py
+++ b/guavagap/errors.py
@@ -162,12 +162,17 @@
     Args:
         kind: the kind of error.
         detail: one plain sentence for logs and for the operator.
+
+    Attributes:
+        retry_after_s: delay after which the caller of a refused request should return;
+            None if nothing is known about it.
     """
 
     def __init__(self, kind: ErrorKind, detail: str):
         super().__init__(f"{kind.value}: {detail}")
         self.kind = kind
         self.detail = detail
+        self.retry_after_s: float | None = None
 
 
 def error_spec(kind: ErrorKind) -> ErrorSpec:
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -52,6 +52,8 @@
 PEER_CONTACT_TIMEOUT_S = 1.0
 # Minimum interval between synchronisations with peers whose member table differs.
 SYNC_INTERVAL_S = 5.0
+# Traffic within a failure domain is free.
+LOCAL_SYNC_INTERVAL_S = 1.0
 # A shorter interval applies while synchronisation fails or finds new members: the peer
 # may have started as recently as this node and still lack members itself.
 SYNC_RETRY_INTERVAL_S = 0.2
@@ -171,7 +173,9 @@
             if not self._is_local_member(datagram.sender_id):
                 self._remote_match_at_s = time.monotonic()
         elif self._is_sync_due(datagram.sender_id):
-            self._next_sync_s = time.monotonic() + SYNC_INTERVAL_S
+            is_local = self._is_local_member(datagram.sender_id)
+            interval_s = LOCAL_SYNC_INTERVAL_S if is_local else SYNC_INTERVAL_S
+            self._next_sync_s = time.monotonic() + interval_s
             await self.scope.spawn(self.sync_members, datagram.sender_id)
 
     def _is_local_member(self, node_id: str) -> bool:
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -33,8 +33,8 @@
 
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 MAX_IDEMPOTENCY_KEY_BYTES = 256
-# A refused caller should retry when a slot is likely to be free: after about the
-# duration of one request, randomised so that callers do not retry simultaneously.
+# Used when no backend server has refused the request, so that no backlog is known;
+# randomised so that callers do not return simultaneously.
 RETRY_AFTER_RANGE_S = (0.1, 0.3)
 CRASH_REPORT_GOSSIP_TARGETS = 6
 FAILURE_STATUS = 500
@@ -144,6 +144,7 @@
             kind=error.kind.value,
             why=error.detail,
             status=self._dialect.status_of(error.kind) if can_respond else 0,
+            **_retry_delay_field(error),
             epoch=self._node.configuration.epoch,
         )
         if not can_respond:
@@ -157,13 +158,16 @@
     async def _send_error(
         self, connection: Http1Connection, error: GuavagapError, request_id: bytes
     ) -> None:
+        retry_after_s = error.retry_after_s
+        if retry_after_s is None:
+            retry_after_s = random.uniform(*RETRY_AFTER_RANGE_S)
         await send_error(
             connection,
             error,
             request_id,
             self._node.is_draining,
             self._dialect,
-            random.uniform(*RETRY_AFTER_RANGE_S),
+            retry_after_s,
         )
 
     async def _handle_request(
@@ -271,6 +275,13 @@
         return route.service.service.encode() + b"/" + key if key else b""
 
 
+def _retry_delay_field(error: GuavagapError) -> dict[str, float]:
+    """Return the log field of the delay told to a refused caller, if it is known."""
+    if error.retry_after_s is None:
+        return {}
+    return {"retry_after_s": round(error.retry_after_s, 3)}
+
+
 def _request_timeout_s(head: RequestHead, route: CompiledRoute, name: bytes) -> float:
     """Return the timeout of the route or of the caller, whichever is shorter."""
     value = header_value(head.headers, name)
