--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,86 @@
+"""Tests of the router on a directory of a few members."""
+
+import time
+from types import SimpleNamespace
+
+import testtools
+
+from guavagap.directory import MIN_REBUILD_INTERVAL_S, Directory
+from guavagap.members import MemberTable
+from guavagap.messages import BackendServer, Member
+from guavagap.routing import ForwardingRouter
+from guavagap.stream_messages import UNKNOWN_CONDITION
+
+SERVICE, POOL = "shop", "main"
+
+
+def make_row(number: int, version: str, domain: str = "d", incarnation: int = 1):
+    address = f"127.0.0.1:{1000 + number}"
+    server = BackendServer(f"s{number}", SERVICE, version, POOL, address, 4, 100)
+    node_id = f"n{number}"
+    return Member(
+        node_id, incarnation, 0, "r", domain, address, address, address, False,
+        (server,),
+    )  # fmt: skip
+
+
+class RouterTests(testtools.TestCase):
+    def make(self, rows) -> ForwardingRouter:
+        self.table = MemberTable(rows[0], time.monotonic)
+        for row in rows[1:]:
+            self.table.merge(row)
+        self.rejected: set[str] = set()
+        self.directory = Directory(self.table)
+        return ForwardingRouter(
+            self.directory,
+            "n0",
+            "r",
+            "d",
+            lambda service, version: version in self.rejected,
+            lambda server_id: UNKNOWN_CONDITION,
+        )
+
+    def share(self):
+        state = SimpleNamespace(
+            service=SERVICE,
+            stable_version="",
+            to_version="",
+            weight_permille=0,
+            excluded_versions=(),
+        )
+        pool = SimpleNamespace(service=SERVICE, name=POOL, min_available_share=0.5)
+        return SimpleNamespace(service=state, pool=pool)
+
+    def test_most_common_version_is_neither_new_nor_rejected(self):
+        rows = [make_row(number, "v1") for number in range(2)]
+        rows += [make_row(number, "v2") for number in range(2, 5)]
+        rows += [make_row(5, "v3")]
+        router, state = self.make(rows), self.share().service
+        self.assertEqual("v2", router.most_common_version(state))
+        state.to_version = "v2"
+        self.assertEqual("v1", router.most_common_version(state))
+        self.rejected.add("v1")
+        self.assertEqual("v3", router.most_common_version(state))
+        state.service = "unknown"
+        self.assertEqual("", router.most_common_version(state))
+
+    def test_distances_follow_the_members(self):
+        router = self.make([make_row(0, "v1", "e"), make_row(1, "v1")])
+        share = self.share()
+        for _ in range(8):
+            self.assertEqual("n0", router.choose_target(share, "v1", set()).node_id)
+        self.table.publish(backend_servers=())
+        self.table.merge(make_row(2, "v1", "e"))
+        time.sleep(MIN_REBUILD_INTERVAL_S)
+        chosen = {router.choose_target(share, "v1", set()).node_id for _ in range(8)}
+        self.assertEqual({"n1"}, chosen)
+
+    def test_ejected_server_is_avoided_while_enough_are_healthy(self):
+        router = self.make([make_row(0, "v1"), make_row(1, "v1"), make_row(2, "v1")])
+        (target,) = [
+            item for item in self.directory.all_targets() if item.node_id == "n0"
+        ]
+        target.health.ejected_until_s = time.monotonic() + 3600
+        for _ in range(8):
+            chosen = router.choose_target(self.share(), "v1", set())
+            self.assertNotEqual("n0", chosen.node_id)
