Count the time of a suspension in deadlines, leases and ages

A node that woke after seconds sent requests whose deadline had passed, and as store relay told its failure domain that its view of the store was current; by documents, a relay's lease lasted longer by the suspension. Ruled out: frozen processes, for which the clock goes on. Change: everything that runs out is measured by clock.steady_s (CLOCK_BOOTTIME).

--- a/guavagap/announcements.py
+++ b/guavagap/announcements.py
@@ -100,7 +100,7 @@
     """Registry of the backend servers of this VM.
 
     Args:
-        clock: returns monotonic seconds.
+        clock: returns seconds of a steady clock.
         wall_clock_ms: returns Unix milliseconds.
     """
 
--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -7,10 +7,10 @@
 """
 
 import random
-import time
 from collections import Counter
 from typing import Callable
 
+from guavagap.clock import steady_s
 from guavagap.dialect import Dialect
 from guavagap.directory import Target
 from guavagap.errors import ErrorKind, GuavagapError, error_spec
@@ -206,7 +206,7 @@
         def check_response(response: ResponseHead) -> None:
             if response.status < FAILURE_STATUS or not response.is_complete:
                 return
-            left_s = exchange.request.deadline_s - time.monotonic()
+            left_s = exchange.request.deadline_s - steady_s()
             min_left_s = (
                 MIN_RETRY_TIME_SHARE_OF_TARGET * exchange.route.target_latency_s
             )
@@ -239,7 +239,7 @@
         """Return the exchange with its wait limit at the chosen target."""
         if not self._node.is_forwarding_only:
             return exchange
-        now_s = time.monotonic()
+        now_s = steady_s()
         target_s = exchange.route.target_latency_s
         candidates = 0
         if history.busy_ids:
@@ -296,7 +296,7 @@
         is_allowed: bool,
     ) -> None:
         """Log the failure with the reported load, its age, and the decision."""
-        now_s, health = time.monotonic(), target.health
+        now_s, health = steady_s(), target.health
         is_reported = health.reported_at_s > 0
         log.info(
             "attempt failed",
@@ -334,7 +334,7 @@
             history.attempts,
             exchange.route.max_attempts,
             history.placements,
-            exchange.request.deadline_s - time.monotonic(),
+            exchange.request.deadline_s - steady_s(),
         )
 
     def _with_retry_mark(self, exchange: Exchange) -> Exchange:
@@ -369,7 +369,7 @@
         check_response = self._make_response_check(exchange, history, budget)
         health = target.health
         health.in_flight += 1
-        started_s = time.monotonic()
+        started_s = steady_s()
         try:
             async with enforce_deadline(exchange.request.deadline_s, attempt):
                 response = await self._send(exchange, target, attempt, check_response)
@@ -421,7 +421,7 @@
     """Record the backlog of a backend server that refused a request."""
     health = target.health
     run_s = health.slowness * request.target_latency_s
-    load = health.load(time.monotonic())
+    load = health.load(steady_s())
     wait_s = expected_wait_s(load, target.server.slots, run_s)
     excess_s = excess_wait_s(wait_s, request.max_wait_s or 0.0)
     if history.excess_wait_s is None or excess_s < history.excess_wait_s:
--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -1,10 +1,9 @@
 """Connection pool of a backend server and exchanges on its connections."""
 
-import time
-
 import h11
 
 from guavagap.addresses import Address
+from guavagap.clock import steady_s
 from guavagap.dialect import NATIVE_DIALECT, Dialect
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.exchange import ForwardedRequest, ResponseHead, Upstream
@@ -128,7 +127,7 @@
         self._sent_at_s = 0.0
 
     async def send_request(self, request: ForwardedRequest, chunks, is_complete):
-        timeout_ms = int((request.deadline_s - time.monotonic()) * 1000)
+        timeout_ms = int((request.deadline_s - steady_s()) * 1000)
         if timeout_ms <= 0:
             raise GuavagapError(
                 ErrorKind.DEADLINE_BEFORE_RUN, "the deadline has passed"
@@ -160,7 +159,7 @@
         except h11.LocalProtocolError as error:
             raise GuavagapError(ErrorKind.BAD_REQUEST, str(error)) from None
         self.is_written = True
-        self._sent_at_s = time.monotonic()
+        self._sent_at_s = steady_s()
         try:
             await self._connection.sock.sendall(data)
         except OSError as error:
@@ -197,7 +196,7 @@
             chunks,
             is_complete,
             is_chunked=is_chunked,
-            run_s=time.monotonic() - self._sent_at_s,
+            run_s=steady_s() - self._sent_at_s,
         )
 
     async def _read_response(self) -> h11.Response:
--- a/guavagap/backend_proxy.py
+++ b/guavagap/backend_proxy.py
@@ -1,12 +1,12 @@
 """Proxy of one local backend server: admission, permits and connections."""
 
-import time
 from typing import Callable
 
 import curio
 
 from guavagap.addresses import parse_address
 from guavagap.backend_connections import BackendConnectionPool, BackendUpstream
+from guavagap.clock import steady_s
 from guavagap.dialect import NATIVE_DIALECT, Dialect
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.exchange import (
@@ -61,7 +61,7 @@
         self.permits = PermitLedger(
             direct_connection_limit(server.connections, server.slots),
             permit_ttl_s,
-            time.monotonic,
+            steady_s,
         )
         self.connections = BackendConnectionPool(parse_address(server.address))
 
@@ -112,7 +112,7 @@
         async with self.admission.admit(
             request.priority, request.max_wait_s, request.target_latency_s
         ):
-            if time.monotonic() >= request.deadline_s:
+            if steady_s() >= request.deadline_s:
                 raise GuavagapError(
                     ErrorKind.DEADLINE_BEFORE_RUN,
                     "the deadline passed while waiting for a slot",
@@ -141,7 +141,7 @@
         check_response: Callable[[ResponseHead], None] | None,
     ) -> ResponseHead:
         """Relay a request and its response, and record the outcome."""
-        started_s = time.monotonic()
+        started_s = steady_s()
         has_response = False
 
         def record_response(response: ResponseHead) -> None:
@@ -157,7 +157,7 @@
             return await relay_exchange(request, downstream, upstream, record_response)
         except GuavagapError as error:
             if not has_response and error.kind in _FAILURE_KINDS:
-                self._update_means(request, True, time.monotonic() - started_s)
+                self._update_means(request, True, steady_s() - started_s)
             if error.kind in _LOST_KINDS and not await self._is_listening():
                 raise GuavagapError(
                     ErrorKind.BACKEND_SERVER_CRASHED, error.detail
--- a/guavagap/caller_watch.py
+++ b/guavagap/caller_watch.py
@@ -5,11 +5,11 @@
 backend server.
 """
 
-import time
 from collections import Counter
 
 import curio
 
+from guavagap.clock import steady_s
 from guavagap.errors import ErrorKind
 from guavagap.http1 import Http1Connection
 
@@ -38,7 +38,7 @@
     def start(self, is_handling_request: bool) -> None:
         """Start a phase at the current time."""
         self.is_handling_request = is_handling_request
-        self.since_s = time.monotonic()
+        self.since_s = steady_s()
 
 
 class ConnectionWatcher:
@@ -58,7 +58,7 @@
         """Check each connection once per interval, until cancelled."""
         while True:
             await curio.sleep(WATCH_INTERVAL_S)
-            now_s = time.monotonic()
+            now_s = steady_s()
             for watched in list(self.connections):
                 if self._should_close(watched, now_s):
                     await self._close(watched)
--- a/guavagap/daemon.py
+++ b/guavagap/daemon.py
@@ -3,13 +3,13 @@
 import gc
 import signal
 import sys
-import time
 
 import click
 import curio
 
 from guavagap import __version__
 from guavagap.admin import AdminApi
+from guavagap.clock import steady_s
 from guavagap.errors import EXIT_DONE, EXIT_USAGE, GuavagapError
 from guavagap.http_messages import accept_connections, serve_http
 from guavagap.logs import configure_logs, get_logger
@@ -102,9 +102,7 @@
     them and other nodes for that time. This shortens the absence of its backend server.
     """
     node.is_draining = True
-    drain_deadline_s = (
-        time.monotonic() + node.settings.drain_timeout_s * DRAIN_TIMEOUT_SHARE
-    )
+    drain_deadline_s = steady_s() + node.settings.drain_timeout_s * DRAIN_TIMEOUT_SHARE
     await curio.sleep(node.deployment.accept_grace_s)
     await node.leave()
     await acceptor.cancel()
@@ -114,7 +112,7 @@
     # connections by their next response.
     grace_s = min(node.deployment.leave_grace_s, node.settings.drain_timeout_s)
     await curio.sleep(grace_s)
-    while time.monotonic() < drain_deadline_s and _work_in_flight(node):
+    while steady_s() < drain_deadline_s and _work_in_flight(node):
         await curio.sleep(DRAIN_POLL_INTERVAL_S)
 
 
--- a/guavagap/direct.py
+++ b/guavagap/direct.py
@@ -4,12 +4,11 @@
 expires unless it is renewed; its TTL is measured from before it was requested.
 """
 
-import time
-
 import curio
 
 from guavagap.addresses import parse_address
 from guavagap.backend_connections import BackendConnectionPool, BackendUpstream
+from guavagap.clock import steady_s
 from guavagap.directory import Target
 from guavagap.errors import GuavagapError
 from guavagap.links import LinkPool
@@ -40,14 +39,14 @@
         self.peak_in_use = 1
 
     def has_permit(self) -> bool:
-        return self.granted > 0 and time.monotonic() < self.expires_at_s
+        return self.granted > 0 and steady_s() < self.expires_at_s
 
     def may_keep(self) -> bool:
         return self.has_permit() and self.connections.open_count <= self.granted
 
     async def acquire(self):
         """Return a connection covered by the permit, or None."""
-        self.last_used_s = time.monotonic()
+        self.last_used_s = steady_s()
         in_use = self.connections.open_count - self.connections.idle_count
         self.peak_in_use = max(self.peak_in_use, in_use + 1)
         if not self.has_permit():
@@ -124,7 +123,7 @@
 
     async def _drop_unused(self, node_id: str) -> list[_PermittedPool]:
         """Return the pools in use; drop the permits of the others."""
-        now_s = time.monotonic()
+        now_s = steady_s()
         used_pools = []
         for pool in self._pools_of(node_id):
             if now_s - pool.last_used_s <= PERMIT_IDLE_TIMEOUT_S:
@@ -146,7 +145,7 @@
             pool.peak_in_use = 1
             held = pool.connections.open_count
             demands.append(PermitDemand(pool.server_id, wanted, held))
-        requested_at_s = time.monotonic()
+        requested_at_s = steady_s()
         try:
             link = await self._links.get(node_id)
             reply = await link.call(PermitRequest(0, tuple(demands)))
--- a/guavagap/directory.py
+++ b/guavagap/directory.py
@@ -4,9 +4,9 @@
 server, as observed by this node, is kept across rebuilds.
 """
 
-import time
 from typing import NamedTuple
 
+from guavagap.clock import steady_s
 from guavagap.members import MemberTable
 from guavagap.messages import BackendServer, MemberState
 from guavagap.stream_messages import Condition
@@ -175,7 +175,7 @@
         """Rebuild the targets if the member table has changed."""
         if self._built_version == self._table.version:
             return
-        now_s = time.monotonic()
+        now_s = steady_s()
         if now_s - self._built_at_s < MIN_REBUILD_INTERVAL_S:
             return
         self._built_at_s = now_s
--- a/guavagap/dissemination.py
+++ b/guavagap/dissemination.py
@@ -8,13 +8,13 @@
 """
 
 import random
-import time
 import zlib
 from collections import Counter
 
 import curio
 
 from guavagap.backoff import Backoff
+from guavagap.clock import steady_s
 from guavagap.configuration import Configuration
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.head import Delta
@@ -122,7 +122,7 @@
             await self._scope.spawn(self._fetch_after_grace, node_id, epoch)
 
     def _has_live_relay(self) -> bool:
-        return time.monotonic() - self.relay_seen_at_s < RELAY_TIMEOUT_S
+        return steady_s() - self.relay_seen_at_s < RELAY_TIMEOUT_S
 
     def _is_in_local_domain(self, node_id: str) -> bool:
         row = self._table.get(node_id)
@@ -261,7 +261,7 @@
     async def on_push(self, sender_id: str, message: DeltaPush) -> None:
         """Apply a pushed delta and forward it."""
         if message.root_id:
-            self.relay_seen_at_s = time.monotonic()
+            self.relay_seen_at_s = steady_s()
         if not message.raw_bytes:
             await self._on_heartbeat(sender_id, message)
             return
--- a/guavagap/documents_deployment.py
+++ b/guavagap/documents_deployment.py
@@ -1,12 +1,12 @@
 """Deployments in which teams commit documents on the command line."""
 
 import random
-import time
 
 import curio
 
 from guavagap.addresses import parse_address
 from guavagap.backoff import Backoff
+from guavagap.clock import steady_s
 from guavagap.commits import read_head
 from guavagap.configuration import Configuration
 from guavagap.deployment import Deployment
@@ -123,9 +123,9 @@
 
     async def _catch_up(self, epoch: int) -> bool:
         """Return whether an epoch is applied within ``CATCH_UP_TIMEOUT_S``."""
-        deadline_s = time.monotonic() + CATCH_UP_TIMEOUT_S
+        deadline_s = steady_s() + CATCH_UP_TIMEOUT_S
         while self.configuration.epoch < epoch:
-            if time.monotonic() > deadline_s:
+            if steady_s() > deadline_s:
                 return False
             await curio.sleep(CATCH_UP_POLL_INTERVAL_S)
         return True
--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -6,13 +6,13 @@
 them with end-to-end back-pressure.
 """
 
-import time
 from abc import ABC, abstractmethod
 from contextlib import asynccontextmanager
 from typing import Callable, NamedTuple
 
 import curio
 
+from guavagap.clock import steady_s
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.stream_messages import Condition
 
@@ -184,7 +184,7 @@
         GuavagapError: DEADLINE_BEFORE_RUN or DEADLINE_AFTER_SEND.
     """
     try:
-        async with curio.timeout_after(max(0.0, deadline_s - time.monotonic())):
+        async with curio.timeout_after(max(0.0, deadline_s - steady_s())):
             yield
     except curio.TaskTimeout:
         if attempt.is_written:
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -1,10 +1,10 @@
 """Forwarded requests: exchanges over a stream of a link."""
 
-import time
 from typing import Callable
 
 import curio
 
+from guavagap.clock import steady_s
 from guavagap.directory import ServerHealth
 from guavagap.errors import ErrorKind, GuavagapError, error_spec
 from guavagap.exchange import Downstream, ForwardedRequest, ResponseHead, Upstream
@@ -68,7 +68,7 @@
         self._health = health
 
     async def send_request(self, request: ForwardedRequest, chunks, is_complete):
-        timeout_ms = max(0, int((request.deadline_s - time.monotonic()) * 1000))
+        timeout_ms = max(0, int((request.deadline_s - steady_s()) * 1000))
         body = b"".join(chunks)
         is_body_held = self._is_cross_domain and len(body) > MAX_EAGER_BODY_BYTES
         first_chunk = b"" if is_body_held else body[:MAX_CHUNK_BYTES]
@@ -130,7 +130,7 @@
     async def read_response(self):
         message = await self._stream.receive()
         if isinstance(message, StreamReset):
-            self._health.update_condition(message.condition, time.monotonic())
+            self._health.update_condition(message.condition, steady_s())
             _raise_reset(message)
         if not isinstance(message, StreamAnswer):
             raise GuavagapError(
@@ -260,7 +260,7 @@
         content_length_bytes,
         is_chunked or bool(content_length_bytes),
         opening.is_idempotent,
-        time.monotonic() + opening.timeout_ms / 1000,
+        steady_s() + opening.timeout_ms / 1000,
         opening.priority,
         None if opening.max_wait_ms == NO_WAIT_LIMIT else opening.max_wait_ms / 1000,
         opening.target_latency_ms / 1000,
--- a/guavagap/idempotency.py
+++ b/guavagap/idempotency.py
@@ -74,7 +74,7 @@
     Args:
         table: the member table.
         links: links to witnesses and owners.
-        clock: returns monotonic seconds.
+        clock: returns seconds of a steady clock.
     """
 
     def __init__(self, table: MemberTable, links: LinkPool, clock):
--- a/guavagap/key_transfer.py
+++ b/guavagap/key_transfer.py
@@ -7,10 +7,10 @@
 process that can request the key from a node could read it from the store as well.
 """
 
-import time
 from typing import NamedTuple
 
 from guavagap.addresses import Address
+from guavagap.clock import steady_s
 from guavagap.logs import get_logger
 from guavagap.tcp import open_udp_socket
 
@@ -57,9 +57,9 @@
             sender = Address(*sender[:2])
             if is_key_offer(packet) and sender in requested:
                 return KeyOffer(packet.removeprefix(_OFFER_PREFIX), sender)
-            if time.monotonic() < next_request_s:
+            if steady_s() < next_request_s:
                 continue
-            next_request_s = time.monotonic() + REQUEST_INTERVAL_S
+            next_request_s = steady_s() + REQUEST_INTERVAL_S
             requested.add(sender)
             try:
                 await sock.sendto(KEY_REQUEST, sender)
--- a/guavagap/limits.py
+++ b/guavagap/limits.py
@@ -5,13 +5,13 @@
 """
 
 import heapq
-import time
 from contextlib import asynccontextmanager
 from itertools import count
 from typing import NamedTuple
 
 import curio
 
+from guavagap.clock import steady_s
 from guavagap.errors import ErrorKind, GuavagapError
 
 __all__ = ["Admission", "PermitLedger", "direct_connection_limit"]
@@ -57,10 +57,10 @@
 
     Args:
         slots: maximum number of concurrent requests.
-        clock: returns monotonic seconds.
+        clock: returns seconds of a steady clock.
     """
 
-    def __init__(self, slots: int, clock=time.monotonic):
+    def __init__(self, slots: int, clock=steady_s):
         self.slots = slots
         self._clock = clock
         self.in_flight = 0
@@ -200,7 +200,7 @@
     Args:
         limit: maximum number of connections granted in total.
         ttl_s: lifetime of a grant.
-        clock: returns monotonic seconds.
+        clock: returns seconds of a steady clock.
     """
 
     def __init__(self, limit: int, ttl_s: float, clock):
--- a/guavagap/link.py
+++ b/guavagap/link.py
@@ -12,7 +12,6 @@
 import hmac
 import os
 import struct
-import time
 import zlib
 from collections import Counter
 from contextlib import asynccontextmanager
@@ -22,6 +21,7 @@
 from curio import socket
 
 from guavagap.addresses import Address
+from guavagap.clock import steady_s
 from guavagap.codec import decode_frame, encode_frame
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.messages import Hello, Proof
@@ -234,7 +234,7 @@
         self.streams: dict[int, Stream] = {}
         self.is_closed = False
         self._channel = channel
-        self.last_sent_at_s = time.monotonic()
+        self.last_sent_at_s = steady_s()
         self._pending_calls: dict[int, curio.Event] = {}
         self._replies: dict[int, object] = {}
         self._next_id = 1
@@ -243,7 +243,7 @@
         """Return whether nothing is in progress and nothing was sent for ``idle_s``."""
         if self.streams or self._pending_calls:
             return False
-        return time.monotonic() - self.last_sent_at_s > idle_s
+        return steady_s() - self.last_sent_at_s > idle_s
 
     def next_id(self) -> int:
         """Return an identifier that was never used before on this connection."""
@@ -258,7 +258,7 @@
         """
         if self.is_closed:
             raise GuavagapError(ErrorKind.LINK_LOST, "the link is closed")
-        self.last_sent_at_s = time.monotonic()
+        self.last_sent_at_s = steady_s()
         await self._channel.send(message)
 
     async def call(self, message, timeout_s: float = CALL_TIMEOUT_S):
--- a/guavagap/logs.py
+++ b/guavagap/logs.py
@@ -8,10 +8,11 @@
 import os
 import select
 import sys
-import time
 
 import structlog
 
+from guavagap.clock import steady_s
+
 __all__ = [
     "LOG_LEVELS",
     "RateLimitedWriter",
@@ -36,7 +37,7 @@
         fd: the file descriptor.
         lines_per_s: sustained limit of lines per second.
         burst_lines: maximum number of lines in a burst.
-        clock: monotonic clock in seconds.
+        clock: steady clock in seconds.
 
     Attributes:
         dropped_count: number of lines dropped since the latest report.
@@ -47,7 +48,7 @@
         fd: int,
         lines_per_s: float = LINES_PER_S,
         burst_lines: float = BURST_LINES,
-        clock=time.monotonic,
+        clock=steady_s,
     ):
         self.dropped_count = 0
         self._fd = fd
--- a/guavagap/members.py
+++ b/guavagap/members.py
@@ -52,7 +52,7 @@
 
     Args:
         local: row of the local node.
-        clock: returns monotonic seconds.
+        clock: returns seconds of a steady clock.
 
     Attributes:
         local: row of the local node.
--- a/guavagap/membership.py
+++ b/guavagap/membership.py
@@ -8,13 +8,13 @@
 """
 
 import random
-import time
 from collections import Counter
 from typing import Callable
 
 import curio
 
 from guavagap.addresses import Address, format_address, parse_address
+from guavagap.clock import steady_s
 from guavagap.datagrams import ReplayWindow, open_datagram, seal_datagram
 from guavagap.errors import GuavagapError
 from guavagap.faults import BlockedAddresses
@@ -154,7 +154,7 @@
         row = self.table.get(sender_id)
         if row is None:
             return
-        self._last_contact_s[row.failure_domain] = time.monotonic()
+        self._last_contact_s[row.failure_domain] = steady_s()
         if self.table.set_domain_reachable(row.failure_domain, True):
             log.info("failure domain reachable", failure_domain=row.failure_domain)
 
@@ -266,10 +266,10 @@
     async def probe_forever(self) -> None:
         """Probe one member per interval until cancelled."""
         while True:
-            started_s = time.monotonic()
+            started_s = steady_s()
             await self._probe_once(started_s)
             self.table.reap_departed()
-            left_s = self.probe_interval_s - (time.monotonic() - started_s)
+            left_s = self.probe_interval_s - (steady_s() - started_s)
             await curio.sleep(max(left_s, 0) * random.uniform(0.9, 1.1))
 
     async def _probe_once(self, started_s: float) -> None:
@@ -288,7 +288,7 @@
 
     def _was_paused(self, started_s: float) -> bool:
         """Return whether this process itself was stopped during the probe."""
-        elapsed_s = time.monotonic() - started_s
+        elapsed_s = steady_s() - started_s
         return elapsed_s > self.probe_interval_s * PAUSE_DETECTION_INTERVALS
 
     async def _probe(self, target: Member) -> bool:
@@ -344,7 +344,7 @@
         )
 
     async def _expire_suspicions(self) -> None:
-        now_s = time.monotonic()
+        now_s = steady_s()
         for suspicion in self.table.suspicions():
             if now_s - suspicion.since_s < self.suspicion_timeout_s:
                 continue
--- a/guavagap/metadata_store.py
+++ b/guavagap/metadata_store.py
@@ -7,11 +7,11 @@
 
 import base64
 import json
-import time
 from abc import ABC, abstractmethod
 from collections import Counter
 from typing import NamedTuple
 
+from guavagap.clock import steady_s
 from guavagap.errors import ErrorKind, GuavagapError
 
 __all__ = [
@@ -124,7 +124,7 @@
     def is_unavailable(self) -> bool:
         """Whether the store has served no call for ``UNAVAILABLE_AFTER_S``."""
         since_s = self.unavailable_since_s
-        return since_s is not None and time.monotonic() - since_s > UNAVAILABLE_AFTER_S
+        return since_s is not None and steady_s() - since_s > UNAVAILABLE_AFTER_S
 
     @abstractmethod
     async def get(
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -11,6 +11,7 @@
 from guavagap.addresses import format_address, parse_address
 from guavagap.announcements import AnnouncementRegistry, ServerReport
 from guavagap.backend_proxy import BackendProxy
+from guavagap.clock import steady_s
 from guavagap.deployment import Deployment
 from guavagap.deployment_factory import open_deployment
 from guavagap.direct import DirectConnections
@@ -101,9 +102,9 @@
         self.notices = NoticeSet()
         self.poison = PoisonGuard()
         self.evidence = EvidenceTable()
-        self.announcements = AnnouncementRegistry(time.monotonic)
+        self.announcements = AnnouncementRegistry(steady_s)
         self.backend_proxies: dict[str, BackendProxy] = {}
-        self.table = MemberTable(_initial_member_row(settings), time.monotonic)
+        self.table = MemberTable(_initial_member_row(settings), steady_s)
         self.traffic = TrafficCounts(*(Counter() for _ in range(4)))
         self.links = LinkPool(
             LinkIdentity(settings.node_id, deployment.mesh_key_bytes),
@@ -140,12 +141,12 @@
             deployment.is_key_shared,
         )
         self.relay = deployment.make_relay(self)
-        self.keys = IdempotencyKeys(self.table, self.links, time.monotonic)
+        self.keys = IdempotencyKeys(self.table, self.links, steady_s)
         self.proxy = Proxy(self)
         self.evaluator = Evaluator(self)
         self.is_synchronised = False
         self._next_sync_s = 0.0
-        self._remote_match_at_s = time.monotonic()
+        self._remote_match_at_s = steady_s()
         self._is_gossip_requested = False
         self._is_syncing = False
 
@@ -171,11 +172,11 @@
         if datagram.members_digest == self.table.digest:
             self.is_synchronised = True
             if not self._is_local_member(datagram.sender_id):
-                self._remote_match_at_s = time.monotonic()
+                self._remote_match_at_s = steady_s()
         elif self._is_sync_due(datagram.sender_id):
             is_local = self._is_local_member(datagram.sender_id)
             interval_s = LOCAL_SYNC_INTERVAL_S if is_local else SYNC_INTERVAL_S
-            self._next_sync_s = time.monotonic() + interval_s
+            self._next_sync_s = steady_s() + interval_s
             await self.scope.spawn(self.sync_members, datagram.sender_id)
 
     def _is_local_member(self, node_id: str) -> bool:
@@ -184,7 +185,7 @@
 
     def _is_sync_due(self, node_id: str) -> bool:
         is_known = self.table.get(node_id) is not None
-        if not is_known or time.monotonic() < self._next_sync_s:
+        if not is_known or steady_s() < self._next_sync_s:
             return False
         return self._is_local_member(node_id) or self._is_remote_sync_due()
 
@@ -196,7 +197,7 @@
         """
         if self.table.local_domain_rank() < REMOTE_SYNCS_PER_DOMAIN:
             return True
-        return time.monotonic() - self._remote_match_at_s > MAX_REMOTE_MISMATCH_S
+        return steady_s() - self._remote_match_at_s > MAX_REMOTE_MISMATCH_S
 
     async def sync_members(self, node_id: str) -> None:
         """Fetch the member rows of a peer that differ from the local ones."""
@@ -206,13 +207,13 @@
             reply = await link.call(MembersRequest(0, self.table.local, digests))
         except GuavagapError as error:
             log.info("member synchronisation failed", peer=node_id, why=str(error))
-            self._next_sync_s = time.monotonic() + SYNC_RETRY_INTERVAL_S
+            self._next_sync_s = steady_s() + SYNC_RETRY_INTERVAL_S
             return
         known_count = len(self.table)
         for row in reply.members:
             self.membership.merge(row, should_gossip=False)
         if len(self.table) > known_count:
-            self._next_sync_s = time.monotonic() + SYNC_RETRY_INTERVAL_S
+            self._next_sync_s = steady_s() + SYNC_RETRY_INTERVAL_S
         self.is_synchronised = True
 
     async def sync_notices(self, node_id: str) -> None:
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -7,13 +7,13 @@
 
 import os
 import random
-import time
 from typing import Callable, NamedTuple
 
 import curio
 
 from guavagap.addresses import Address, format_address, parse_address
 from guavagap.backoff import Backoff
+from guavagap.clock import steady_s
 from guavagap.declarations import Declaration, RolloutOrder
 from guavagap.declared_configuration import DeclaredConfiguration
 from guavagap.deployment import Deployment
@@ -185,9 +185,9 @@
                 return
             await curio.sleep(SYNC_POLL_INTERVAL_S)
         await self._introduce()
-        deadline_s = time.monotonic() + JOIN_TIMEOUT_S
+        deadline_s = steady_s() + JOIN_TIMEOUT_S
         while self._entries and not node.is_synchronised:
-            if time.monotonic() >= deadline_s:
+            if steady_s() >= deadline_s:
                 log.warning(
                     "member table not synchronised yet", entries=len(self._entries)
                 )
--- a/guavagap/outcomes.py
+++ b/guavagap/outcomes.py
@@ -1,8 +1,8 @@
 """Updates of health, evidence and poison detection from attempt outcomes."""
 
-import time
 from collections import Counter
 
+from guavagap.clock import steady_s
 from guavagap.dialect import Dialect
 from guavagap.directory import Target
 from guavagap.errors import ErrorKind, GuavagapError
@@ -59,7 +59,7 @@
         self, exchange: Exchange, target: Target, response: ResponseHead
     ) -> None:
         """Record the response of a backend server."""
-        now_s = time.monotonic()
+        now_s = steady_s()
         is_failure = response.status >= FAILURE_STATUS
         self._counts["answers"] += 1
         if response.condition is not None:
@@ -99,7 +99,7 @@
         started_s: float,
     ) -> None:
         """Record a failed attempt."""
-        now_s = time.monotonic()
+        now_s = steady_s()
         backend_proxy = self._node.backend_proxies.get(target.server.server_id)
         if backend_proxy is not None:
             target.health.update_condition(backend_proxy.condition(), now_s)
--- a/guavagap/platform/store.py
+++ b/guavagap/platform/store.py
@@ -3,7 +3,6 @@
 import base64
 import binascii
 import json
-import time
 from collections import Counter
 from contextlib import asynccontextmanager
 from urllib.parse import quote
@@ -12,6 +11,7 @@
 import h11
 
 from guavagap.addresses import Address, format_address
+from guavagap.clock import steady_s
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.faults import BlockedAddresses
 from guavagap.http1 import Http1Connection, connect_http1
@@ -205,7 +205,7 @@
         self, method: bytes, target: str, body=None, wait_s: float = 0
     ) -> HttpResponse:
         if self.address in self._blocked:
-            self._record_served(False, time.monotonic())
+            self._record_served(False, steady_s())
             raise self._unreachable("blocked by fault injection")
         headers = [(b"host", format_address(self.address).encode())]
         data = b""
@@ -213,14 +213,14 @@
             headers.append((b"content-type", b"application/json"))
             data = json.dumps(body).encode()
         request = HttpRequest(method, target.encode(), headers, data)
-        started_s = time.monotonic()
+        started_s = steady_s()
         try:
             async with curio.timeout_after(self.call_timeout_s + wait_s):
                 response = await self._exchange(request)
         except (OSError, h11.ProtocolError, curio.TaskTimeout, GuavagapError) as error:
             # It is unknown when the connection of a watch broke, so the outage is
             # counted from now.
-            self._record_served(False, time.monotonic() if wait_s else started_s)
+            self._record_served(False, steady_s() if wait_s else started_s)
             path = target.partition("?")[0]
             raise self._unreachable(f"{method.decode()} {path}: {error!r}") from None
         self._record_served(response.status not in _BUSY_STATUSES, started_s)
--- a/guavagap/poison.py
+++ b/guavagap/poison.py
@@ -8,10 +8,10 @@
 """
 
 import hashlib
-import time
 from collections import OrderedDict
 from typing import NamedTuple
 
+from guavagap.clock import steady_s
 from guavagap.messages import PoisonMark
 
 __all__ = ["PoisonGuard", "fingerprint_of"]
@@ -48,7 +48,7 @@
 class PoisonGuard:
     """Crash reports and quarantines known to this node."""
 
-    def __init__(self, clock=time.monotonic):
+    def __init__(self, clock=steady_s):
         self._clock = clock
         self._crash_reports: OrderedDict[bytes, _CrashReports] = OrderedDict()
         self._quarantined: OrderedDict[bytes, float] = OrderedDict()
--- a/guavagap/porcelain.py
+++ b/guavagap/porcelain.py
@@ -15,6 +15,7 @@
 
 from guavagap import commits
 from guavagap.addresses import Address, parse_address
+from guavagap.clock import steady_s
 from guavagap.commits import Commit, read_audit, read_body, read_head
 from guavagap.documents import Document, Problem, parse_document
 from guavagap.errors import ErrorKind, GuavagapError
@@ -290,7 +291,7 @@
         GuavagapError: WAIT_TIMEOUT when the rollout has not ended in time; NOT_FOUND
             when there is no such service; PLATFORM_UNREACHABLE.
     """
-    deadline_s = time.monotonic() + timeout_s
+    deadline_s = steady_s() + timeout_s
     revision = ""
     previous: ServiceStatus | None = None
     while True:
@@ -300,7 +301,7 @@
             previous = status._replace(seconds_left=0)
         if status.verdict in (*FINAL_STATES, "stable"):
             return status
-        remaining_s = deadline_s - time.monotonic()
+        remaining_s = deadline_s - steady_s()
         if remaining_s <= 0:
             raise GuavagapError(
                 ErrorKind.WAIT_TIMEOUT,
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -12,6 +12,7 @@
 from guavagap.caller_connections import CallerDownstream
 from guavagap.caller_errors import lingering_close, send_error
 from guavagap.caller_watch import ConnectionWatcher, WatchedConnection
+from guavagap.clock import steady_s
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.exchange import ForwardedRequest
 from guavagap.http1 import (
@@ -112,7 +113,7 @@
             request_id = self._request_prefix + b"%d" % next(self._request_numbers)
         self.in_flight += 1
         watched.start(is_handling_request=True)
-        started_s, outcome = time.monotonic(), "failed"
+        started_s, outcome = steady_s(), "failed"
         try:
             await self._handle_request(connection, head, request_id)
             outcome = "answered"
@@ -129,7 +130,7 @@
             return await self._handle_error(connection, internal, request_id)
         finally:
             self.in_flight -= 1
-            self.latency_s.observe({"outcome": outcome}, time.monotonic() - started_s)
+            self.latency_s.observe({"outcome": outcome}, steady_s() - started_s)
             watched.start(is_handling_request=False)
         return connection.start_next_cycle()
 
@@ -173,7 +174,7 @@
     async def _handle_request(
         self, connection: Http1Connection, head: RequestHead, request_id: bytes
     ) -> None:
-        node, started_s = self._node, time.monotonic()
+        node, started_s = self._node, steady_s()
         if not node.is_ready:
             raise GuavagapError(
                 ErrorKind.NOT_READY, "no configuration has been applied yet"
--- a/guavagap/relay.py
+++ b/guavagap/relay.py
@@ -8,12 +8,12 @@
 
 import json
 import random
-import time
 from typing import NamedTuple
 
 import curio
 
 from guavagap.backoff import Backoff
+from guavagap.clock import steady_s
 from guavagap.commits import HEAD_KEY, read_body
 from guavagap.configuration import Configuration
 from guavagap.dissemination import Disseminator
@@ -167,7 +167,7 @@
     async def _renew(self, lease: _Lease) -> _Lease | None:
         """Write the lease; return None when another node holds it."""
         key = lease_key(self._table.local.failure_domain)
-        started_s = time.monotonic()
+        started_s = steady_s()
         try:
             revision = await self._platform.put(
                 key, self._lease_body(), lease.revision, self._lease_ttl_s
@@ -198,7 +198,7 @@
             return await self._renew(lease)
         except GuavagapError as error:
             log.info("relay lease not renewed", why=str(error))
-        if time.monotonic() - lease.renewed_at_s > self._lease_ttl_s:
+        if steady_s() - lease.renewed_at_s > self._lease_ttl_s:
             return None
         return lease
 
--- a/guavagap/routing.py
+++ b/guavagap/routing.py
@@ -8,10 +8,10 @@
 
 import hashlib
 import random
-import time
 from typing import Callable, Sequence
 
 from guavagap.announcements import DEFAULT_POOL
+from guavagap.clock import steady_s
 from guavagap.directory import Directory, Target
 from guavagap.rendezvous import rendezvous_order
 from guavagap.scheduling.placement import (
@@ -215,7 +215,7 @@
     ) -> Target:
         if len(targets) == 1:
             return targets[0]
-        now_s = time.monotonic()
+        now_s = steady_s()
         healthy = self._healthy(share, self._in_preference_order(targets), now_s)
         limit = share.pool.max_in_flight
         candidates = self._nearest_unsaturated(healthy, limit, now_s)
@@ -281,7 +281,7 @@
     def _choose_among(
         self, share: RouteShare, targets: tuple[Target, ...], response_bytes: float
     ) -> Target:
-        now_s = time.monotonic()
+        now_s = steady_s()
         healthy = self._healthy(share, targets, now_s)
         distances = [self._distance(item) for item in healthy]
         indices = sample_indices(distances, random)
--- a/guavagap/store_relay.py
+++ b/guavagap/store_relay.py
@@ -6,12 +6,12 @@
 Several watchers at once do no harm: pushed changes are merged by revision.
 """
 
-import time
 from typing import Callable
 
 import curio
 
 from guavagap.backoff import Backoff
+from guavagap.clock import steady_s
 from guavagap.declared_configuration import DeclaredConfiguration
 from guavagap.dissemination import RELAY_TIMEOUT_S, Disseminator
 from guavagap.errors import ErrorKind, GuavagapError
@@ -121,14 +121,14 @@
         log.info("feeder", is_held=is_active)
 
     def _has_live_relay(self) -> bool:
-        age_s = time.monotonic() - self._disseminator.relay_seen_at_s
+        age_s = steady_s() - self._disseminator.relay_seen_at_s
         return age_s < RELAY_TIMEOUT_S and self._last_revision is not None
 
     def _is_joining(self) -> bool:
         """Return whether the first listing is so recent that no watch is needed yet."""
         if self._joined_at_s is None:
             return False
-        return time.monotonic() - self._joined_at_s < JOIN_PAUSE_S
+        return steady_s() - self._joined_at_s < JOIN_PAUSE_S
 
     async def watch_once(self) -> None:
         """Fetch the next changes from the store, or all items the first time.
@@ -138,7 +138,7 @@
         """
         if self._last_revision is None:
             listing = await self._source.list_prefix(ALL_KEYS_PREFIX)
-            self._joined_at_s = time.monotonic()
+            self._joined_at_s = steady_s()
         else:
             # Skip the changes that other nodes have pushed already.
             after = max(self._last_revision, self._configuration.epoch)
@@ -162,7 +162,7 @@
     def _record_store_contact(self, listing: Listing) -> None:
         self._last_revision = listing.as_of
         self.platform_epoch = listing.as_of
-        self._store_contact_at_s = time.monotonic()
+        self._store_contact_at_s = steady_s()
         if self._is_store_unreachable:
             self._is_store_unreachable = False
             log.info("store reachable again", revision=listing.as_of)
@@ -189,7 +189,7 @@
         """
         while True:
             await curio.sleep(RELAY_HEARTBEAT_INTERVAL_S)
-            now_s = time.monotonic()
+            now_s = steady_s()
             is_current = now_s - self._store_contact_at_s < STORE_CONTACT_TIMEOUT_S
             silence_s = now_s - self._disseminator.relay_seen_at_s
             is_first = self._table.local_domain_rank() == 0
--- a/tests/test_backend_proxy.py
+++ b/tests/test_backend_proxy.py
@@ -1,11 +1,10 @@
 """Tests of the proxy of a backend server: lost connections and run times."""
 
-import time
-
 import curio
 from curio import socket
 
 from guavagap.backend_proxy import BackendProxy
+from guavagap.clock import steady_s
 from guavagap.errors import ErrorKind
 from guavagap.exchange import Attempt, Downstream, ForwardedRequest
 from guavagap.messages import BackendServer
@@ -45,7 +44,7 @@
         content_length_bytes=None,
         has_body=False,
         is_idempotent=True,
-        deadline_s=time.monotonic() + 2.0,
+        deadline_s=steady_s() + 2.0,
     )
 
 
@@ -129,7 +128,7 @@
         )
         while not backend_proxy.admission.in_flight:
             await curio.sleep(0)
-        started_s = time.monotonic()
+        started_s = steady_s()
         second = await curio.spawn(
             backend_proxy.run, make_request(), _Downstream(), Attempt()
         )
@@ -137,7 +136,7 @@
         await may_respond.set()
         await first.join()
         response = await second.join()
-        waited_s = time.monotonic() - started_s - response.run_s
+        waited_s = steady_s() - started_s - response.run_s
         await server.cancel()
         await backend_proxy.connections.close_idle()
         await listener.close()
--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -1,10 +1,9 @@
 """Tests of commits under races, lost responses and a regressed history."""
 
-import time
-
 import curio
 
 from guavagap import porcelain
+from guavagap.clock import steady_s
 from guavagap.commits import (
     apply_documents,
     audit_key,
@@ -64,7 +63,7 @@
 
     def check(self, case):
         async def start():
-            self.store = MemoryStore(time.monotonic)
+            self.store = MemoryStore(steady_s)
             await case(_LossyPlatform(self.store))
 
         self.run_async(start)
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -1,9 +1,8 @@
 """Tests of where configuration is fetched from and pushed to."""
 
-import time
-
 import curio
 
+from guavagap.clock import steady_s
 from guavagap.dissemination import (
     LOCAL_RELAY_GRACE_S,
     Disseminator,
@@ -66,14 +65,14 @@
         """
 
         async def case():
-            table = MemberTable(make_row("a1", "da"), time.monotonic)
+            table = MemberTable(make_row("a1", "da"), steady_s)
             for row in (make_row("a2", "da"), make_row("b1", "db")):
                 table.merge(row)
             configuration, links = _Configuration(), _Links()
             async with open_task_scope("test") as scope:
                 disseminator = Disseminator(configuration, table, links, scope)
                 if has_live_relay:
-                    disseminator.relay_seen_at_s = time.monotonic() + 60
+                    disseminator.relay_seen_at_s = steady_s() + 60
                 await disseminator.on_epoch_seen(node_id, 6, 0)
                 await curio.sleep(0)
                 at_once = list(links.requested)
@@ -116,7 +115,7 @@
         children = push_children(order, unreachable)
 
         async def case():
-            table = MemberTable(make_row(local_id, "da"), time.monotonic)
+            table = MemberTable(make_row(local_id, "da"), steady_s)
             for node_id in members[1:]:
                 table.merge(make_row(node_id, "da"))
             links = _Links(set(members) - {unreachable})
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -5,13 +5,13 @@
 """
 
 import itertools
-import time
 
 import curio
 import h11
 
 from guavagap.addresses import Address
 from guavagap.backend_connections import BackendConnectionPool, BackendUpstream
+from guavagap.clock import steady_s
 from guavagap.errors import ErrorKind
 from guavagap.exchange import ForwardedRequest
 from guavagap.http1 import RECEIVE_BYTES, Http1Connection
@@ -60,7 +60,7 @@
 
 def make_request() -> ForwardedRequest:
     headers = [(b"host", b"shop"), (b"x-request-id", b"new")]
-    deadline_s = time.monotonic() + 60
+    deadline_s = steady_s() + 60
     return ForwardedRequest(b"GET", b"/x", headers, None, False, True, deadline_s)
 
 
--- a/tests/test_evaluator.py
+++ b/tests/test_evaluator.py
@@ -1,9 +1,9 @@
 """Tests of how the evaluation of a rollout passes from node to node."""
 
-import time
 from types import SimpleNamespace
 
 from guavagap.addresses import parse_address
+from guavagap.clock import steady_s
 from guavagap.evaluator import Evaluator
 from guavagap.members import MemberTable
 from guavagap.messages import Member
@@ -34,7 +34,7 @@
 
 
 def make_evaluator(local: int, count: int) -> Evaluator:
-    table = MemberTable(make_row(local), time.monotonic)
+    table = MemberTable(make_row(local), steady_s)
     for number in range(count):
         table.merge(make_row(number))
     repository = _Repository()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,9 +1,8 @@
 """Tests of requests forwarded over a link."""
 
-import time
-
 import curio
 
+from guavagap.clock import steady_s
 from guavagap.directory import ServerHealth
 from guavagap.errors import ErrorKind
 from guavagap.exchange import ForwardedRequest
@@ -31,7 +30,7 @@
 
 
 def make_request() -> ForwardedRequest:
-    deadline_s = time.monotonic() + 2.0
+    deadline_s = steady_s() + 2.0
     return ForwardedRequest(b"POST", b"/x", [], len(BODY), True, False, deadline_s)
 
 
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -1,10 +1,9 @@
 """Tests of the key-value store, run against each implementation."""
 
-import time
-
 import curio
 
 from guavagap.addresses import Address
+from guavagap.clock import steady_s
 from guavagap.errors import ErrorKind
 from guavagap.key_value import ABSENT, MAX_VALUE_BYTES, MemoryKeyValueStore, MemoryStore
 from guavagap.platform.key_value import open_key_value_store
@@ -103,7 +102,7 @@
 
 class MemoryKeyValueStoreTests(KeyValueStoreCases, AsyncTestCase):
     async def with_platform(self, function):
-        await function(MemoryKeyValueStore(MemoryStore(time.monotonic)))
+        await function(MemoryKeyValueStore(MemoryStore(steady_s)))
 
 
 class HttpKeyValueStoreTests(KeyValueStoreCases, AsyncTestCase):
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -10,6 +10,7 @@
 import testtools
 from hypothesis import given, settings, strategies
 
+from guavagap.clock import steady_s
 from guavagap.evidence import LATENCY_BOUNDS_MS, EvidenceRow, EvidenceWindows
 from guavagap.rollouts import (
     ORDERED_POLICY,
@@ -285,7 +286,7 @@
         except OSError:
             return
         version = response.headers.get("x-version", "")
-        self.responses.append((time.monotonic(), version, response.status))
+        self.responses.append((steady_s(), version, response.status))
 
     def edit(self, fleet, number=1, version="v2", complete_in_s=20.0):
         file = Path(fleet.folder) / "catalogue.toml"
@@ -321,7 +322,7 @@
     def assert_no_new_traffic(self):
         """Check that the faulty version gets no traffic after ``ZERO_TRAFFIC_S``."""
         time.sleep(ZERO_TRAFFIC_S)
-        since_s = time.monotonic()
+        since_s = steady_s()
         time.sleep(1.0)
         late = [r for r in self.responses if r[0] > since_s and r[1] == "v2"]
         self.assertEqual([], late)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from guavagap.clock import steady_s
 from guavagap.directory import MIN_REBUILD_INTERVAL_S, Directory
 from guavagap.members import MemberTable
 from guavagap.messages import BackendServer, Member
@@ -26,7 +27,7 @@
 
 class RouterTests(testtools.TestCase):
     def make(self, rows) -> ForwardingRouter:
-        self.table = MemberTable(rows[0], time.monotonic)
+        self.table = MemberTable(rows[0], steady_s)
         for row in rows[1:]:
             self.table.merge(row)
         self.rejected: set[str] = set()
@@ -80,7 +81,7 @@
         (target,) = [
             item for item in self.directory.all_targets() if item.node_id == "n0"
         ]
-        target.health.ejected_until_s = time.monotonic() + 3600
+        target.health.ejected_until_s = steady_s() + 3600
         for _ in range(8):
             chosen = router.choose_target(self.share(), "v1", set())
             self.assertNotEqual("n0", chosen.node_id)
