--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+from unittest.mock import patch
 
 import curio
 import h11
@@ -16,6 +17,7 @@
 from guavagap.exchange import ForwardedRequest
 from guavagap.http1 import RECEIVE_BYTES, Http1Connection
 from guavagap.platform.headers import PLATFORM_DIALECT
+from guavagap.platform.store import StoreClient
 from tests.cases import AsyncTestCase
 
 # More than any reader may take without giving way to other tasks or giving up.
@@ -32,6 +34,7 @@
         rest = rest * (RECEIVE_BYTES // len(rest))
         self._parts = itertools.chain([start + rest], itertools.repeat(rest))
         self.received_bytes = 0
+        self.is_limited = True
 
     async def sendall(self, data: bytes) -> None:
         pass
@@ -39,7 +42,7 @@
     async def recv(self, size_bytes: int) -> bytes:
         data = next(self._parts)
         self.received_bytes += len(data)
-        if self.received_bytes > MAX_BYTES:
+        if self.is_limited and self.received_bytes > MAX_BYTES:
             raise AssertionError("read without limit")
         return data
 
@@ -126,6 +129,23 @@
     def test_body_up_to_the_close_without_end_leaves_time_for_others(self):
         self.assert_others_run(OWN_HEAD + b"\r\n", b"x" * 1024)
 
+    def test_trailers_without_end_end_the_exchange(self):
+        async def case():
+            head = OWN_HEAD + b"transfer-encoding: chunked\r\n\r\n"
+            start = head + b"4\r\nabcd\r\n0\r\n"
+            upstream = open_upstream(_EndlessSocket(start, b"x-filler: 1\r\n"))
+            await upstream.send_request(make_request(), [], True)
+            kind = ErrorKind.BACKEND_SERVER_PROTOCOL
+            await self.assert_error_kind(kind, self.read_all(upstream))
+            await upstream.abort()
+
+        self.run_async(case)
+
+    async def read_all(self, upstream: BackendUpstream) -> None:
+        is_complete = (await upstream.read_response()).is_complete
+        while not is_complete:
+            _, is_complete = await upstream.read_chunks()
+
     def test_chunk_size_line_without_end_ends_the_exchange(self):
         async def case():
             head = OWN_HEAD + b"transfer-encoding: chunked\r\n\r\n"
@@ -136,3 +156,37 @@
             await upstream.abort()
 
         self.run_async(case)
+
+
+class EndlessStoreTests(AsyncTestCase):
+    def test_store_that_sends_without_end_is_given_up(self):
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        cases = {
+            "interim responses": (b"HTTP/1.1 103 Early Hints\r\n\r\n",) * 2,
+            "a head": (b"HTTP/1.1 200 OK\r\n", b"x-filler: 1\r\n"),
+            "a body": (head, b"4\r\nabcd\r\n"),
+        }
+        for name, (start, rest) in cases.items():
+            with self.subTest(name):
+                self.assert_given_up(start, rest)
+
+    def assert_given_up(self, start: bytes, rest: bytes) -> None:
+        async def case():
+            sock = _EndlessSocket(start, rest)
+            sock.is_limited = False
+            client = StoreClient(Address("127.0.0.1", 1), call_timeout_s=0.5)
+            connection = Http1Connection(sock, h11.CLIENT)
+            with patch(
+                "guavagap.platform.store.connect_http1", _return_later(connection)
+            ):
+                kind = ErrorKind.PLATFORM_UNREACHABLE
+                await self.assert_error_kind(kind, client.get("key"))
+
+        self.run_async(case)
+
+
+def _return_later(value):
+    async def return_value(*args):
+        return value
+
+    return return_value
