Leave time for runs longer than the mean when a request waits for a slot

Cause: the limit of a wait left time for 1.25 mean runs. Change: 1.75, and the first waits keep to it as well.

--- a/guavagap/scheduling/waits.py
+++ b/guavagap/scheduling/waits.py
@@ -4,9 +4,10 @@
 
 - Random bunching: one backend server is full while another has a free slot. The first
   waits take a share of the target latency, and a refusal there is answered elsewhere.
-- All backend servers are full. The last wait ends when a run would no longer fit into
-  the target latency, because a request that waits past its target takes a slot from one
-  that could still meet its own.
+- Load above capacity, so that all backend servers are full. A wait ends when a run that
+  takes longer than the mean would no longer fit into the target latency. Requests that
+  wait longer are served late in slots that others could have used in time: the queue is
+  then as long as the longest wait, for all of them.
 """
 
 from typing import NamedTuple
@@ -20,7 +21,7 @@
 # Time is left for the run even if there is no target latency.
 FINAL_WAIT_MAX_SHARE_OF_TIME_LEFT = 0.5
 # A run is assumed to take up to this multiple of the backend server's mean run time.
-RUN_TIME_MARGIN = 1.25
+RUN_TIME_MARGIN = 1.75
 
 
 class WaitState(NamedTuple):
@@ -47,11 +48,12 @@
         slowness: the backend server's mean run time as a share of the target.
         state: what has happened to the request so far.
     """
+    left_for_wait_s = FINAL_WAIT_MAX_SHARE_OF_TIME_LEFT * state.left_s
+    spare_s = left_for_wait_s
+    if target_s:
+        spare_s = target_s * (1 - RUN_TIME_MARGIN * slowness) - state.waited_s
+        spare_s = max(spare_s, FINAL_WAIT_MIN_SHARE_OF_TARGET * target_s)
     short_waits = min(MAX_SHORT_WAITS, max(1, state.candidates))
     if not state.refusals or state.refusals < short_waits:
-        return SHORT_WAIT_SHARE_OF_TARGET * target_s - state.waited_s
-    final_wait_s = FINAL_WAIT_MAX_SHARE_OF_TIME_LEFT * state.left_s
-    if not target_s:
-        return final_wait_s
-    spare_s = target_s * (1 - RUN_TIME_MARGIN * slowness) - state.waited_s
-    return min(final_wait_s, max(spare_s, FINAL_WAIT_MIN_SHARE_OF_TARGET * target_s))
+        return min(spare_s, SHORT_WAIT_SHARE_OF_TARGET * target_s - state.waited_s)
+    return min(spare_s, left_for_wait_s)
--- a/tests/scheduling/test_refusals.py
+++ b/tests/scheduling/test_refusals.py
@@ -11,47 +11,7 @@
     excess_wait_s,
     expected_wait_s,
 )
-from tests.scheduling.replay import LoadPattern, replay_refusals
-
-SEEDS = range(4)
-USUAL_LOAD = 0.75
-BURST_START_S = 3.0
-# A late response is worth this share of one within the target latency.
-LATE_WORTH = 0.3
-
-
-def burst(load: float, duration_s: float, **changes) -> LoadPattern:
-    """Return a pattern with a time of load above the capacity of its pool."""
-    pattern = LoadPattern(16, 4, 0.33, 0.94, 2.0, 0.4 * 0.94, 12.0, None)
-    pattern = pattern._replace(**changes)
-    capacity_per_s = pattern.servers * pattern.slots / pattern.run_s
-
-    def rate_per_s(at_s: float) -> float:
-        is_burst = BURST_START_S < at_s < BURST_START_S + duration_s
-        return capacity_per_s * (load if is_burst else USUAL_LOAD)
-
-    return pattern._replace(rate_per_s=rate_per_s)
-
-
-SHORT_RUNS = {
-    "servers": 5,
-    "slots": 9,
-    "run_s": 0.06,
-    "target_s": 0.2,
-    "deadline_s": 0.5,
-    "max_wait_s": 0.08,
-}
-
-
-def mean_worth(pattern: LoadPattern, make_choose_delay) -> float:
-    """Return the mean worth of a request over several seeds."""
-    worth = total = 0
-    for seed in SEEDS:
-        source = random.Random(seed)
-        result = replay_refusals(pattern, make_choose_delay(source), source)
-        worth += result.in_target + LATE_WORTH * result.late
-        total += result.in_target + result.late + result.failed
-    return worth / total
+from tests.scheduling.replay import SHORT_RUNS, LoadPattern, burst, mean_worth
 
 
 class DelayTests(testtools.TestCase):
@@ -81,7 +41,7 @@
         chosen = mean_worth(
             pattern,
             lambda source: lambda wait_s: choose_return_delay_s(
-                excess_wait_s(wait_s, pattern.max_wait_s), source
+                excess_wait_s(wait_s, pattern.limit_wait_s(0.0)), source
             ),
         )
         fixed = mean_worth(
