Do not take a conflict without a current key for the mesh key

Cause: found reading the diff. Since few nodes create the key, one that comes second takes it from the store's response; a response without it would have ended the start of the node by an unexpected error. Change: such a response is an error of the store, and the key is read again. A delay for callers is set on refusals only, not on errors that may have run. Before: test_conflict_without_the_current_key_is_not_taken_for_a_key failed (ValueError).

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -183,7 +183,8 @@
                         exchange, history, target, error, attempt, budget
                     )
             except GuavagapError as error:
-                if history.excess_wait_s is not None:
+                is_refused = error_spec(error.kind).is_not_run
+                if is_refused and history.excess_wait_s is not None:
                     error.retry_after_s = choose_return_delay_s(
                         history.excess_wait_s, random
                     )
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -18,7 +18,7 @@
 from guavagap.declared_configuration import DeclaredConfiguration
 from guavagap.deployment import Deployment
 from guavagap.dialect import Dialect
-from guavagap.errors import GuavagapError
+from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.head import Rollout
 from guavagap.key_transfer import KeyOffer, request_key
 from guavagap.logs import get_logger
@@ -359,10 +359,19 @@
 
 
 async def _create_key(store: MetadataStore) -> StoredKey:
-    """Create the mesh key; return the current one if another node was first."""
+    """Create the mesh key; return the current one if another node was first.
+
+    Raises:
+        GuavagapError: PLATFORM_BUSY if the store tells neither; see also
+            :class:`guavagap.metadata_store.MetadataStore`.
+    """
     key_bytes = os.urandom(MESH_KEY_BYTES)
     outcome = await store.transact({MESH_KEY: 0}, [Write(MESH_KEY, key_bytes)])
     if outcome.revision is not None:
         return StoredKey(key_bytes)
-    (item,) = outcome.current_items
-    return StoredKey(item.value)
+    for item in outcome.current_items:
+        if item.key == MESH_KEY and item.value:
+            return StoredKey(item.value)
+    raise GuavagapError(
+        ErrorKind.PLATFORM_BUSY, "the store named no key that exists instead"
+    )
--- a/tests/test_operator_deployment.py
+++ b/tests/test_operator_deployment.py
@@ -8,7 +8,13 @@
 import testtools
 
 from guavagap.addresses import Address
-from guavagap.metadata_store import Lease, Listing, MirrorItem, TransactionOutcome
+from guavagap.metadata_store import (
+    Lease,
+    Listing,
+    MirrorItem,
+    StoreItem,
+    TransactionOutcome,
+)
 from guavagap.operator_deployment import (
     MAX_INTRODUCTIONS,
     MAX_REMOTE_INTRODUCTIONS,
@@ -76,6 +82,25 @@
         self.assertEqual({"stale_get", "transact"}, set(counts))
         self.assertLess(counts["transact"], node_count / 2)
 
+    def test_conflict_without_the_current_key_is_not_taken_for_a_key(self):
+        key = StoreItem("mesh/key", b"k" * 32, 7, 0)
+        store = SimpleNamespace(conflicts=[[], [key._replace(value=b"")], [key]])
+
+        async def get(key, is_stale_allowed):
+            return None, 1
+
+        async def transact(expected, writes):
+            return TransactionOutcome(None, store.conflicts.pop(0))
+
+        store.get, store.transact = get, transact
+
+        async def case():
+            (port,) = allocate_ports(1)
+            return await obtain_mesh_key(store, Address("127.0.0.1", port))
+
+        self.assertEqual(key.value, self.run_async(case).key_bytes)
+        self.assertEqual([], store.conflicts)
+
 
 class EntryTests(testtools.TestCase):
     def test_entry_missing_from_a_complete_listing_is_written_again(self):
