Stop a node that still waits for the store at its start

The signal to stop was read only once the node was started, and a node that waits for the mesh key while the store is away is not. Change: the signal is awaited beside the start, and ends it. Before: test_node_that_waits_for_the_store_at_its_start_is_stopped failed (still running after the wait of the test); after: passes.

--- a/guavagap/daemon.py
+++ b/guavagap/daemon.py
@@ -41,22 +41,53 @@
 
 async def run_daemon(settings: Settings) -> None:
     """Run a node until SIGTERM or SIGINT, then drain it."""
+    stop = _StopRequest()
     with open_signal_socket() as signals:
-        await _run_until_signal(signals, settings)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(_run_node, settings, stop)
+            await group.spawn(_request_stop, signals, stop)
+    return group.result
 
 
-async def _run_until_signal(signals, settings: Settings) -> None:
+class _StopRequest:
+    """Passes a signal to stop on to the task that runs the node.
+
+    Attributes:
+        is_node_started: whether the node is started, and therefore has to be drained.
+        received: set when the node has to stop.
+    """
+
+    def __init__(self):
+        self.is_node_started = False
+        self.received = curio.Event()
+
+
+async def _run_node(settings: Settings, stop: _StopRequest) -> None:
     async with open_node(settings) as node:
         acceptor = await _start(node)
         if settings.garbage_collector == "tamed":
             _tune_collector()
+        stop.is_node_started = True
         log.info("node started", version=__version__)
-        await _wait_for_stop_signal(signals)
+        await stop.received.wait()
         log.info("node draining", in_flight=node.proxy.in_flight)
         await _drain(node, acceptor)
         log.info("node stopped", in_flight=node.proxy.in_flight)
 
 
+async def _request_stop(signals, stop: _StopRequest) -> None:
+    """Wait for a signal; return if there is nothing to drain yet.
+
+    A node may wait for the store for long before it is started.
+    """
+    await _wait_for_stop_signal(signals)
+    if not stop.is_node_started:
+        log.info("stopped before the node was started")
+        return
+    await stop.received.set()
+    await curio.Event().wait()
+
+
 async def _wait_for_stop_signal(signals) -> None:
     """Return on SIGTERM or SIGINT; ignore SIGHUP, since settings are not reloaded."""
     while True:
--- a/tests/test_operator_changes.py
+++ b/tests/test_operator_changes.py
@@ -184,6 +184,16 @@
         process.wait(GRACE_S)
         self.assertEqual(0, self.run_count(fleet, "late"))
 
+    def test_node_that_waits_for_the_store_at_its_start_is_stopped(self):
+        fleet = self.start(layout={"a1": "za"})
+        fleet.configure_platform(is_down=True)
+        node = fleet.start_operator_node("b1", "zb", "shop")
+        wait_until(
+            lambda: "mesh key not obtained" in node.log_path.read_text("utf-8"),
+            what="b1 waits for the store",
+        )
+        self.assertEqual(0, fleet.stop(node.process))
+
     def test_sighup_is_ignored(self):
         fleet = self.start(layout={"a1": "za"})
         fleet.nodes["a1"].process.send_signal(signal.SIGHUP)
