Choose the own backend server while it has a free slot

Cause: a node knows the load of its own backend server exactly, and that of others from their latest response, up to a second old. The choice by expected time treated both alike, so a request left a node with free slots for a server that was said to be a little less loaded, and found its slots taken.

Change: the own backend server is chosen while it has a free slot, is not cold and is not slower than 1.5 times the median; the comparison decides otherwise.

--- a/guavagap/scheduling/placement.py
+++ b/guavagap/scheduling/placement.py
@@ -9,8 +9,10 @@
   cost of a choice.
 - Backend servers of different speed, and ones that turn slow: the expected run time
   counts, so the fast ones run more while they have slots.
-- A burst at one node. Its own backend server, whose load is known exactly, is preferred
-  by the time that a hop over a link takes.
+- A fleet in which every node has callers and a backend server. A free slot that is
+  known exactly is worth more than one that was reported a moment ago, and saves a hop:
+  the own backend server is chosen while it has a free slot.
+- A burst at one node. Once its own slots are taken, requests go to the others.
 """
 
 from enum import IntEnum
@@ -29,6 +31,9 @@
 DEFAULT_SLOWNESS = 0.33
 # A hop to the owner node of another backend server, in target latencies.
 HOP_COST = 0.03
+# The own backend server is not preferred if its runs take longer than the median times
+# this.
+OWN_MAX_SLOWNESS_RATIO = 1.5
 SAMPLE_IN_DOMAIN = 6
 SAMPLE_IN_OTHER_DOMAINS = 4
 
@@ -93,6 +98,9 @@
         random: source of randomness, as :mod:`random`; decides between equals.
     """
     median = _median_slowness(candidates)
+    for index, candidate in enumerate(candidates):
+        if candidate.distance is Distance.SAME_NODE and _has_slot(candidate, median):
+            return index
     best = best_in_domain = None
     for index, candidate in enumerate(candidates):
         score = (_expected_time(candidate, median), random.random(), index)
@@ -109,6 +117,13 @@
     return (best_in_domain if best_in_domain[0] <= best[0] + crossing_cost else best)[2]
 
 
+def _has_slot(candidate: Candidate, median: float) -> bool:
+    """Return whether a request would run at once and about as fast as elsewhere."""
+    if candidate.is_cold or candidate.load >= candidate.slots:
+        return False
+    return (candidate.slowness or median) <= OWN_MAX_SLOWNESS_RATIO * median
+
+
 def _expected_time(candidate: Candidate, median: float) -> float:
     """Return the expected latency of a request, in target latencies."""
     slowness = candidate.slowness or median
--- /dev/null
+++ b/tests/scheduling/domain_replay.py
@@ -0,0 +1,206 @@
+"""Replay of load patterns against placement, in a failure domain of many nodes.
+
+Each node receives requests from its own callers and chooses among its own backend
+server, whose load it knows, and a sample of others, of which it knows what their latest
+response to it said. Servers run requests in slots; one that is nearly full is slower. A
+request that finds no slot within its wait limit is refused and sent elsewhere.
+"""
+
+import heapq
+import random as random_module
+from itertools import count
+from typing import Callable, NamedTuple, Sequence
+
+from guavagap.scheduling.placement import (
+    Candidate,
+    Distance,
+    choose_candidate,
+    sample_indices,
+)
+from guavagap.scheduling.waits import WaitState, max_wait_s
+
+__all__ = ["DomainLoad", "DomainResult", "replay_domain"]
+
+REPORT_TTL_S = 1.0
+MAX_ATTEMPTS = 4
+WARM_UP_S = 2.0
+# Standard deviation of the logarithm of run times.
+RUN_SPREAD = 0.4
+# A server with all slots taken takes this much longer than an idle one.
+SLOWDOWN_WHEN_FULL = 0.3
+
+
+class DomainLoad(NamedTuple):
+    """Open-loop load on the nodes of a failure domain.
+
+    Attributes:
+        nodes: number of nodes; each of the first ``servers`` has a backend server.
+        load: arrivals as a share of the capacity of the domain, without slowing down.
+        hop_s: time from one node to another and back, with the work of both.
+        busy_node_weight: arrivals at the first node, as a multiple of the others'.
+        speeds: run time of each server as a multiple of the mean; 1 for all if empty.
+    """
+
+    nodes: int
+    servers: int
+    slots: int
+    run_s: float
+    target_s: float
+    deadline_s: float
+    load: float
+    hop_s: float = 0.004
+    duration_s: float = 20.0
+    busy_node_weight: float = 1.0
+    speeds: Sequence[float] = ()
+
+
+class DomainResult(NamedTuple):
+    """Shares of the requests after the warm-up."""
+
+    in_target: float
+    failed: float
+    forwarded: float
+
+
+class _Server:
+    def __init__(self, slots: int, speed: float):
+        self.slots, self.speed = slots, speed
+        self.running = 0
+        self.queue: list = []
+        self.slowness = 0.0
+
+    @property
+    def load(self) -> int:
+        return self.running + len(self.queue)
+
+
+def replay_domain(
+    load: DomainLoad, seed: int, choose: Callable = choose_candidate
+) -> DomainResult:
+    """Replay a load; ``choose`` has the signature of ``choose_candidate``."""
+    return _Replay(load, random_module.Random(seed), choose).run()
+
+
+class _Replay:
+    def __init__(self, load: DomainLoad, random, choose):
+        self.load, self.random, self.choose = load, random, choose
+        speeds = load.speeds or [1.0] * load.servers
+        self.servers = [_Server(load.slots, speed) for speed in speeds]
+        # Per node and server: load and slowness as reported last, and when.
+        self.reports: dict[tuple[int, int], tuple[int, float, float]] = {}
+        self.sent: dict[tuple[int, int], int] = {}
+        self.events: list = []
+        self.counter = count()
+        self.total = self.good = self.failed = self.hops = self.sends = 0
+
+    def run(self) -> DomainResult:
+        load, at_s = self.load, 0.0
+        rate_per_s = load.load * load.servers * load.slots / load.run_s
+        weights = [load.busy_node_weight] + [1.0] * (load.nodes - 1)
+        while at_s < load.duration_s:
+            at_s += self.random.expovariate(rate_per_s)
+            node = self.random.choices(range(load.nodes), weights)[0]
+            self._at(at_s, self._arrive, node, at_s, frozenset())
+        while self.events:
+            now_s, _, function, args = heapq.heappop(self.events)
+            function(now_s, *args)
+        return DomainResult(
+            self.good / self.total, self.failed / self.total, self.hops / self.sends
+        )
+
+    def _at(self, at_s, function, *args):
+        heapq.heappush(self.events, (at_s, next(self.counter), function, args))
+
+    def _candidate(self, node: int, index: int, now_s: float) -> Candidate:
+        server = self.servers[index]
+        if index == node:
+            slowness = server.slowness or None
+            return Candidate(
+                server.slots, server.load, slowness, False, Distance.SAME_NODE
+            )
+        known, slowness, at_s = self.reports.get((node, index), (0, 0.0, -9.0))
+        sent = self.sent.get((node, index), 0)
+        if now_s - at_s > REPORT_TTL_S:
+            known = 0
+        if now_s - at_s > 3 * REPORT_TTL_S:
+            slowness = 0.0
+        return Candidate(
+            server.slots,
+            max(known, sent),
+            slowness or None,
+            False,
+            Distance.SAME_DOMAIN,
+        )
+
+    def _arrive(self, now_s, node, started_s, busy):
+        indices = [i for i in range(len(self.servers)) if i not in busy]
+        distances = [
+            Distance.SAME_NODE if i == node else Distance.SAME_DOMAIN for i in indices
+        ]
+        sample = [indices[i] for i in sample_indices(distances, self.random)]
+        candidates = [self._candidate(node, index, now_s) for index in sample]
+        index = sample[self.choose(candidates, 0.0, self.random)]
+        slowness = self.reports.get((node, index), (0, 0.0, 0.0))[1]
+        left_s = started_s + self.load.deadline_s - now_s
+        state = WaitState(now_s - started_s, left_s, len(busy), len(self.servers))
+        wait_s = max_wait_s(self.load.target_s, slowness, state)
+        hop_s = 0.0 if index == node else self.load.hop_s / 2
+        self.sends += 1
+        self.hops += index != node
+        key = (node, index)
+        self.sent[key] = self.sent.get(key, 0) + 1
+        request = (node, index, started_s, busy, hop_s)
+        self._at(now_s + hop_s, self._reach, request, wait_s)
+
+    def _reach(self, now_s, request, wait_s):
+        server = self.servers[request[1]]
+        if server.running < server.slots:
+            self._start(now_s, request)
+            return
+        mean_s = self.load.run_s * (1 + SLOWDOWN_WHEN_FULL) * server.speed
+        expected_s = (len(server.queue) + 1) * mean_s / server.slots
+        if expected_s > wait_s or len(server.queue) >= 2 * server.slots:
+            self._at(now_s + request[4], self._refused, request, server.load)
+            return
+        server.queue.append(request)
+
+    def _refused(self, now_s, request, reported):
+        node, index, started_s, busy, _ = request
+        self._report(now_s, request, reported)
+        busy = busy | {index}
+        if len(busy) < min(MAX_ATTEMPTS, len(self.servers)):
+            self._arrive(now_s, node, started_s, busy)
+        elif started_s > WARM_UP_S:
+            self.total += 1
+            self.failed += 1
+
+    def _start(self, now_s, request):
+        server = self.servers[request[1]]
+        server.running += 1
+        full = server.running / server.slots
+        run_s = self.load.run_s * server.speed * (1 + SLOWDOWN_WHEN_FULL * full)
+        run_s *= self.random.lognormvariate(0.0, RUN_SPREAD)
+        self._at(now_s + run_s, self._end, request, run_s)
+
+    def _end(self, now_s, request, run_s):
+        server = self.servers[request[1]]
+        server.running -= 1
+        slowness = run_s / self.load.target_s
+        server.slowness += (
+            0.1 * (slowness - server.slowness) if server.slowness else (slowness)
+        )
+        if server.queue:
+            self._start(now_s, server.queue.pop(0))
+        self._at(now_s + request[4], self._answered, request, server.load)
+
+    def _answered(self, now_s, request, reported):
+        self._report(now_s, request, reported)
+        started_s = request[2]
+        if started_s > WARM_UP_S:
+            self.total += 1
+            self.good += now_s - started_s <= self.load.target_s
+
+    def _report(self, now_s, request, reported):
+        key = request[:2]
+        self.sent[key] -= 1
+        self.reports[key] = (reported, self.servers[request[1]].slowness, now_s)
