Send fewer rows and indirect probes to other failure domains

Change: a probe of another failure domain and its acknowledgement carry the latest row only, and a member of the own failure domain is probed indirectly from inside it. Ruled out: fewer probes between failure domains, since each of these says that the other one is reachable.

--- a/guavagap/membership.py
+++ b/guavagap/membership.py
@@ -35,6 +35,9 @@
 log = get_logger()
 
 MAX_ROWS_PER_DATAGRAM = 4
+# Traffic to other failure domains is billed, so probes of them carry the latest change
+# only. Comparisons of tables bring the rest.
+MAX_REMOTE_ROWS_PER_PROBE = 1
 MAX_MARKS_PER_DATAGRAM = 4
 INDIRECT_PROBES = 3
 ACK_TIMEOUT_SHARE = 0.4
@@ -174,7 +177,10 @@
             if any(row.node_id == datagram.sender_id for row in datagram.members):
                 # A sender that attaches its row may not know this node yet.
                 extra += (self.table.local,)
-            await self.send(sender, DatagramKind.ACK, datagram.token, extra)
+            limit = self._probe_row_limit(datagram.sender_id)
+            await self.send(
+                sender, DatagramKind.ACK, datagram.token, extra, row_limit=limit
+            )
         elif datagram.kind == DatagramKind.ACK:
             event = self._pending_acks.get(datagram.token)
             if event is not None:
@@ -194,8 +200,18 @@
             target = parse_address(request.target_address)
         except ValueError:
             return
-        if await self.ping(target, self.probe_interval_s * ACK_TIMEOUT_SHARE):
-            await self.send(sender, DatagramKind.ACK, request.token)
+        timeout_s = self.probe_interval_s * ACK_TIMEOUT_SHARE
+        target_limit = self._probe_row_limit(request.target_id)
+        if await self.ping(target, timeout_s, row_limit=target_limit):
+            limit = self._probe_row_limit(request.sender_id)
+            await self.send(sender, DatagramKind.ACK, request.token, row_limit=limit)
+
+    def _probe_row_limit(self, member_id: str) -> int:
+        """Return how many rows a probe of a member, or a response to one, may carry."""
+        row = self.table.get(member_id)
+        if row is None or row.failure_domain == self.table.local.failure_domain:
+            return MAX_ROWS_PER_DATAGRAM
+        return MAX_REMOTE_ROWS_PER_PROBE
 
     async def send(
         self,
@@ -204,9 +220,10 @@
         token: int,
         extra: tuple[Member, ...] = (),
         target: Member | None = None,
+        row_limit: int = MAX_ROWS_PER_DATAGRAM,
     ) -> None:
-        """Send one datagram with as many pending updates as fit."""
-        limit = MAX_ROWS_PER_DATAGRAM - len(extra)
+        """Send one datagram with pending updates, up to ``row_limit`` rows in all."""
+        limit = max(0, row_limit - len(extra))
         self._sequence += 1
         datagram = Datagram(
             sender_id=self.table.local.node_id,
@@ -233,13 +250,21 @@
         except OSError as error:
             log.debug("datagram not sent", to=format_address(address), why=repr(error))
 
-    async def ping(self, address: Address, timeout_s: float, extra=()) -> bool:
+    async def ping(
+        self,
+        address: Address,
+        timeout_s: float,
+        extra=(),
+        row_limit: int = MAX_ROWS_PER_DATAGRAM,
+    ) -> bool:
         """Probe an address; return whether it acknowledged within ``timeout_s``."""
         self._token += 1
         token = self._token
         event = self._pending_acks[token] = curio.Event()
         try:
-            await self.send(address, DatagramKind.PING, token, extra)
+            await self.send(
+                address, DatagramKind.PING, token, extra, row_limit=row_limit
+            )
             return await curio.ignore_after(timeout_s, _wait_for(event)) is True
         finally:
             del self._pending_acks[token]
@@ -295,26 +320,44 @@
         timeout_s = self.probe_interval_s * ACK_TIMEOUT_SHARE
         row = self.table.get(target.node_id)
         extra = () if row.state == MemberState.ALIVE else (row,)
-        if await self.ping(parse_address(target.mesh_address), timeout_s, extra):
+        limit = self._probe_row_limit(target.node_id)
+        address = parse_address(target.mesh_address)
+        if await self.ping(address, timeout_s, extra, limit):
             return True
-        peers = [
-            member
-            for member in self.table.peers_in_state(MemberState.ALIVE)
-            if member.node_id != target.node_id
-        ]
+        peers = self._indirect_probers(target)
         self._token += 1
         token = self._token
         event = self._pending_acks[token] = curio.Event()
         try:
             for peer in random.sample(peers, min(INDIRECT_PROBES, len(peers))):
-                address = parse_address(peer.mesh_address)
                 await self.send(
-                    address, DatagramKind.PING_REQUEST, token, target=target
+                    parse_address(peer.mesh_address),
+                    DatagramKind.PING_REQUEST,
+                    token,
+                    target=target,
+                    row_limit=self._probe_row_limit(peer.node_id),
                 )
             return await curio.ignore_after(timeout_s, _wait_for(event)) is True
         finally:
             del self._pending_acks[token]
 
+    def _indirect_probers(self, target: Member) -> list[Member]:
+        """Return members that may probe another one for this node.
+
+        A member of the local failure domain is probed from inside it if possible,
+        since traffic to others is billed.
+        """
+        local_domain = self.table.local.failure_domain
+        peers = [
+            member
+            for member in self.table.peers_in_state(MemberState.ALIVE)
+            if member.node_id != target.node_id
+        ]
+        if target.failure_domain != local_domain:
+            return peers
+        local = [item for item in peers if item.failure_domain == local_domain]
+        return local if len(local) >= INDIRECT_PROBES else peers
+
     def _choose_target(self) -> Member | None:
         members = self.table.peers_in_state(MemberState.ALIVE, MemberState.SUSPECT)
         local_domain = self.table.local.failure_domain
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,118 @@
+"""Tests of what the membership protocol sends to whom."""
+
+import random
+
+import curio
+import testtools
+
+from guavagap.addresses import Address, format_address
+from guavagap.clock import steady_s
+from guavagap.datagrams import open_datagram, seal_datagram
+from guavagap.faults import BlockedAddresses
+from guavagap.members import MemberTable
+from guavagap.membership import (
+    INDIRECT_PROBES,
+    MAX_REMOTE_ROWS_PER_PROBE,
+    MAX_ROWS_PER_DATAGRAM,
+    Membership,
+)
+from guavagap.messages import Datagram, DatagramKind, Member
+
+KEY = b"a key of the mesh for tests"
+HEADER = {"epoch": 1, "head_digest": 0, "notices_digest": 0}
+MEMBERS_PER_DOMAIN = 6
+
+
+def make_row(domain: str, number: int) -> Member:
+    address = f"10.0.{ord(domain)}.{number}:7600"
+    return Member(
+        f"{domain}{number}", 1, 0, "region", domain, address, address, address
+    )
+
+
+class _Socket:
+    """Records datagrams instead of sending them."""
+
+    def __init__(self):
+        self.sent: list[tuple[Address, Datagram]] = []
+
+    async def sendto(self, packet, address):
+        self.sent.append((address, open_datagram(KEY, packet)))
+
+
+class ProbeTests(testtools.TestCase):
+    def make(self) -> Membership:
+        """Return the membership of a0, with changes of all members to gossip."""
+        table = MemberTable(make_row("a", 0), steady_s)
+        for domain in ("a", "b", "c"):
+            for number in range(MEMBERS_PER_DOMAIN):
+                table.merge(make_row(domain, number))
+        membership = Membership(
+            table,
+            Address("127.0.0.1", 1),
+            KEY,
+            (),
+            0.05,
+            1.0,
+            lambda: HEADER,
+            lambda limit: (),
+            _ignore,
+            BlockedAddresses(),
+            False,
+        )
+        membership._sock = _Socket()
+        return membership
+
+    def probe(self, domain: str) -> list[tuple[Address, Datagram]]:
+        """Probe a member that does not respond; return what was sent."""
+        membership = self.make()
+        random.seed(1)
+        curio.run(membership._probe, membership.table.get(f"{domain}3"))
+        return membership._sock.sent
+
+    def acknowledge(self, sender: Member) -> Datagram:
+        """Return the acknowledgement of a probe."""
+        membership = self.make()
+        probe = Datagram(
+            sender_id=sender.node_id,
+            session=1,
+            sequence=1,
+            members=(),
+            marks=(),
+            kind=DatagramKind.PING,
+            token=7,
+            target_address="",
+            target_id="",
+            members_digest=0,
+            **HEADER,
+        )
+        packet = seal_datagram(KEY, probe)
+        curio.run(membership._receive, packet, Address("10.0.0.1", 7600), None)
+        return membership._sock.sent[0][1]
+
+    def test_probes_inside_the_failure_domain_carry_as_many_rows_as_fit(self):
+        self.assertEqual(MAX_ROWS_PER_DATAGRAM, len(self.probe("a")[0][1].members))
+        datagram = self.acknowledge(make_row("a", 2))
+        self.assertEqual(MAX_ROWS_PER_DATAGRAM, len(datagram.members))
+
+    def test_probes_of_other_failure_domains_carry_the_latest_change(self):
+        self.assertEqual(MAX_REMOTE_ROWS_PER_PROBE, len(self.probe("b")[0][1].members))
+        datagram = self.acknowledge(make_row("b", 2))
+        self.assertEqual(MAX_REMOTE_ROWS_PER_PROBE, len(datagram.members))
+
+    def test_member_of_the_own_failure_domain_is_probed_from_inside_it(self):
+        table = self.make().table
+        own = {row.mesh_address for row in table.alive_in_domain("a")}
+        requests = self.probe("a")[1:]
+        self.assertEqual(INDIRECT_PROBES, len(requests))
+        self.assertTrue({format_address(address) for address, _ in requests} <= own)
+
+    def test_member_elsewhere_is_probed_from_any_failure_domain(self):
+        addresses = set()
+        for _ in range(5):
+            addresses |= {address.ip.split(".")[2] for address, _ in self.probe("b")}
+        self.assertTrue(len(addresses) > 1, addresses)
+
+
+async def _ignore(datagram) -> None:
+    """Take no notice of a datagram."""
