Rebuild targets of changed rows only, and answer most choices without the others

A response's headers were listed three times to compare its identifier.

Change: the targets of a row that is the same as before are kept; a node whose own backend server is chosen whatever the others are does not look at them; the identifier that was sent is kept, and the headers are listed once.

--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -124,6 +124,7 @@
         self._server_id = server_id
         self._dialect = dialect
         self._head: h11.Request | None = None
+        self._sent_id: bytes | None = None
         self._sent_at_s = 0.0
 
     async def send_request(self, request: ForwardedRequest, chunks, is_complete):
@@ -138,6 +139,8 @@
             headers.append(expected)
         if request.has_body and request.content_length_bytes is None:
             headers.append(_CHUNKED)
+        if self._dialect.is_id_echoed:
+            self._sent_id = header_value(headers, self._dialect.request_id)
         self._head = h11.Request(
             method=request.method,
             target=request.target,
@@ -172,13 +175,14 @@
 
     async def read_response(self):
         event = await self._read_response()
+        headers = header_list(event)
         for _ in range(MAX_STALE_RESPONSES):
-            if self._is_for_sent_request(event):
+            if self._is_for_sent_request(headers):
                 break
             await self._skip_stale_response()
             event = await self._read_response()
-        headers = header_list(event)
-        if not self._is_for_sent_request(event):
+            headers = header_list(event)
+        if not self._is_for_sent_request(headers):
             raise GuavagapError(
                 ErrorKind.BACKEND_SERVER_PROTOCOL,
                 "received responses to other requests",
@@ -212,14 +216,12 @@
             f"received more than {MAX_INTERIM_RESPONSES} interim responses",
         )
 
-    def _is_for_sent_request(self, response: h11.Response) -> bool:
+    def _is_for_sent_request(self, headers: list[tuple[bytes, bytes]]) -> bool:
         """Return whether a response belongs to the request that was sent."""
-        if not self._dialect.is_id_echoed:
+        if self._sent_id is None:
             return True
-        name = self._dialect.request_id
-        echoed = header_value(header_list(response), name)
-        expected = header_value(header_list(self._head), name)
-        return echoed is None or expected is None or echoed == expected
+        echoed = header_value(headers, self._dialect.request_id)
+        return echoed is None or echoed == self._sent_id
 
     async def _skip_stale_response(self) -> None:
         """Read and drop a late response to an earlier request."""
--- a/guavagap/directory.py
+++ b/guavagap/directory.py
@@ -154,6 +154,8 @@
         self._by_id: dict[str, Target] = {}
         self._version_counts: dict[tuple[str, str], dict[str, int]] = {}
         self._health: dict[str, ServerHealth] = {}
+        # The targets that were made of each row.
+        self._row_targets: dict[str, tuple] = {}
         self._is_first_build = True
 
     def targets(self, service: str, pool: str, version: str) -> tuple[Target, ...]:
@@ -182,31 +184,49 @@
         self.rebuild(now_s)
 
     def rebuild(self, now_s: float) -> None:
-        """Rebuild the targets from the current member table."""
+        """Rebuild the targets from the current member table.
+
+        On a bad day the table changes many times a second, in few of its rows, so the
+        targets of a row that is the same as before are kept.
+        """
         self._built_version = self._table.version
         targets: dict[tuple[str, str, str], list[Target]] = {}
         by_id: dict[str, Target] = {}
+        known, row_targets = self._row_targets, {}
         for row in self._table.rows():
             if not self._table.is_usable(row):
                 continue
-            for server in row.backend_servers:
-                if server.is_draining:
-                    continue
-                target = self._make_target(row, server, now_s)
-                by_id[server.server_id] = target
-                key = (server.service, server.pool, server.version)
+            kept = known.get(row.node_id)
+            if kept is None or kept[0] is not row:
+                kept = (row, self._make_targets(row, now_s))
+            row_targets[row.node_id] = kept
+            for key, target in kept[1]:
+                by_id[target.server.server_id] = target
                 targets.setdefault(key, []).append(target)
+        self._row_targets = row_targets
         self._targets = {key: tuple(value) for key, value in targets.items()}
         self._by_id = by_id
         self._version_counts = {}
         for (service, pool, version), version_targets in self._targets.items():
             versions = self._version_counts.setdefault((service, pool), {})
             versions[version] = len(version_targets)
-        self._health = {
-            key: value for key, value in self._health.items() if key in by_id
-        }
+        if len(self._health) > len(by_id):
+            self._health = {
+                key: value for key, value in self._health.items() if key in by_id
+            }
         self._is_first_build = False
 
+    def _make_targets(self, row, now_s: float) -> list[tuple[tuple, Target]]:
+        """Return the targets of a row with their services, pools and versions."""
+        return [
+            (
+                (server.service, server.pool, server.version),
+                self._make_target(row, server, now_s),
+            )
+            for server in row.backend_servers
+            if not server.is_draining
+        ]
+
     def _make_target(self, row, server: BackendServer, now_s: float) -> Target:
         health = self._health.get(server.server_id)
         if health is None:
--- a/guavagap/routing.py
+++ b/guavagap/routing.py
@@ -15,9 +15,11 @@
 from guavagap.directory import Directory, Target
 from guavagap.rendezvous import rendezvous_order
 from guavagap.scheduling.placement import (
+    SAMPLE_IN_DOMAIN,
     Candidate,
     Distance,
     choose_candidate,
+    prefers_own,
     sample_indices,
 )
 from guavagap.snapshot import CompiledRoute, RouteShare, ServiceState
@@ -204,8 +206,9 @@
             response_bytes: mean size of the responses of the route.
         """
         targets = self._targets(share, version, excluded)
-        free = tuple(item for item in targets if item.server.server_id not in busy)
-        targets = free or targets
+        if busy:
+            free = tuple(item for item in targets if item.server.server_id not in busy)
+            targets = free or targets
         if not targets:
             return None
         return self._choose_among(share, targets, response_bytes)
@@ -282,6 +285,9 @@
         self, share: RouteShare, targets: tuple[Target, ...], response_bytes: float
     ) -> Target:
         now_s = steady_s()
+        own = self._preferred_own_target(targets, now_s)
+        if own is not None:
+            return own
         healthy = self._healthy(share, targets, now_s)
         distances = [self._distance(item) for item in healthy]
         indices = sample_indices(distances, random)
@@ -291,6 +297,25 @@
         ]
         return healthy[indices[choose_candidate(candidates, response_bytes, random)]]
 
+    def _preferred_own_target(
+        self, targets: tuple[Target, ...], now_s: float
+    ) -> Target | None:
+        """Return the target of this node if it is chosen whatever the others are.
+
+        Answering this first keeps most choices independent of the number of targets.
+        """
+        for target in targets:
+            if target.node_id == self._local_id:
+                break
+        else:
+            return None
+        if target.health.ejected_until_s > now_s:
+            return None
+        own = self._make_candidate(target, Distance.SAME_NODE, now_s)
+        others = random.sample(targets, min(len(targets), SAMPLE_IN_DOMAIN))
+        known = [item.health.expected_slowness(now_s) for item in others]
+        return target if prefers_own(own, known) else None
+
     def _distance(self, target: Target) -> Distance:
         if target.node_id == self._local_id:
             return Distance.SAME_NODE
--- a/guavagap/scheduling/placement.py
+++ b/guavagap/scheduling/placement.py
@@ -18,7 +18,14 @@
 from enum import IntEnum
 from typing import NamedTuple, Sequence
 
-__all__ = ["Candidate", "Distance", "choose_candidate", "sample_indices"]
+__all__ = [
+    "SAMPLE_IN_DOMAIN",
+    "Candidate",
+    "Distance",
+    "choose_candidate",
+    "prefers_own",
+    "sample_indices",
+]
 
 # A candidate in another failure domain is selected only if its expected latency is
 # lower by more than this cost, in target latencies: crossing costs a round trip and
@@ -87,6 +94,19 @@
     return indices if len(indices) <= count else random.sample(indices, count)
 
 
+def prefers_own(own: Candidate, known: Sequence[float | None]) -> bool:
+    """Return whether the own backend server is chosen without a comparison.
+
+    Args:
+        own: the node's own backend server.
+        known: slowness of several backend servers of the service.
+    """
+    if own.is_cold or own.load >= own.slots:
+        return False
+    median = _median_slowness(known)
+    return (own.slowness or median) <= OWN_MAX_SLOWNESS_RATIO * median
+
+
 def choose_candidate(
     candidates: Sequence[Candidate], response_bytes: float, random
 ) -> int:
@@ -97,10 +117,11 @@
         response_bytes: mean size of the responses of the route.
         random: source of randomness, as :mod:`random`; decides between equals.
     """
-    median = _median_slowness(candidates)
+    known = [item.slowness for item in candidates]
     for index, candidate in enumerate(candidates):
-        if candidate.distance is Distance.SAME_NODE and _has_slot(candidate, median):
+        if candidate.distance is Distance.SAME_NODE and prefers_own(candidate, known):
             return index
+    median = _median_slowness(known)
     best = best_in_domain = None
     for index, candidate in enumerate(candidates):
         score = (_expected_time(candidate, median), random.random(), index)
@@ -117,13 +138,6 @@
     return (best_in_domain if best_in_domain[0] <= best[0] + crossing_cost else best)[2]
 
 
-def _has_slot(candidate: Candidate, median: float) -> bool:
-    """Return whether a request would run at once and about as fast as elsewhere."""
-    if candidate.is_cold or candidate.load >= candidate.slots:
-        return False
-    return (candidate.slowness or median) <= OWN_MAX_SLOWNESS_RATIO * median
-
-
 def _expected_time(candidate: Candidate, median: float) -> float:
     """Return the expected latency of a request, in target latencies."""
     slowness = candidate.slowness or median
@@ -137,7 +151,7 @@
     return time if candidate.distance is Distance.SAME_NODE else time + HOP_COST
 
 
-def _median_slowness(candidates: Sequence[Candidate]) -> float:
+def _median_slowness(known: Sequence[float | None]) -> float:
     """Return the median of the known slowness, a default if none is known."""
-    known = sorted(item.slowness for item in candidates if item.slowness is not None)
-    return known[len(known) // 2] if known else DEFAULT_SLOWNESS
+    values = sorted(slowness for slowness in known if slowness is not None)
+    return values[len(values) // 2] if values else DEFAULT_SLOWNESS
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,7 +10,7 @@
 from guavagap.members import MemberTable
 from guavagap.messages import BackendServer, Member
 from guavagap.routing import ForwardingRouter
-from guavagap.stream_messages import UNKNOWN_CONDITION
+from guavagap.stream_messages import UNKNOWN_CONDITION, Condition
 
 SERVICE, POOL = "shop", "main"
 
@@ -85,3 +85,34 @@
         for _ in range(8):
             chosen = router.choose_target(self.share(), "v1", set())
             self.assertNotEqual("n0", chosen.node_id)
+
+    def test_own_server_is_chosen_only_while_it_has_a_free_slot(self):
+        router = self.make([make_row(number, "v1") for number in range(5)])
+        for load, is_chosen in ((3, True), (4, False)):
+            condition = Condition(load, 0, 300)
+            router._read_local_condition = lambda server_id: condition
+            chosen = {
+                router.choose_target(self.share(), "v1", set()).node_id
+                for _ in range(8)
+            }
+            self.assertEqual(is_chosen, "n0" in chosen, (load, chosen))
+
+    def test_targets_of_rows_that_are_the_same_are_kept(self):
+        self.make([make_row(0, "v1"), make_row(1, "v1"), make_row(2, "v1")])
+        before = {item.node_id: item for item in self.directory.all_targets()}
+        self.table.merge(make_row(1, "v2", incarnation=2))
+        time.sleep(MIN_REBUILD_INTERVAL_S)
+        after = {item.node_id: item for item in self.directory.all_targets()}
+        self.assertIs(before["n2"], after["n2"])
+        self.assertEqual("v2", after["n1"].server.version)
+        self.assertIs(before["n1"].health, after["n1"].health)
+
+    def test_server_whose_domain_was_unreachable_has_no_old_health(self):
+        self.make([make_row(0, "v1"), make_row(1, "v1", "e")])
+        (old,) = [item for item in self.directory.all_targets() if item.node_id == "n1"]
+        for is_reachable in (False, True):
+            self.table.set_domain_reachable("e", is_reachable)
+            time.sleep(MIN_REBUILD_INTERVAL_S)
+            targets = {item.node_id: item for item in self.directory.all_targets()}
+            self.assertEqual(is_reachable, "n1" in targets)
+        self.assertIsNot(old.health, targets["n1"].health)
