--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -290,12 +290,17 @@
         Once written, an entry is kept, since removing it is a billed call as well.
         """
         lease: Lease | None = None
+        is_left_logged = False
         while self._listed_at_s is None:
             await curio.sleep(LISTING_POLL_INTERVAL_S)
         if not self._is_first_holder:
             await curio.sleep(ENTRY_DELAY_S * random.uniform(1.0, 1.5))
         while True:
             if lease is None and not self._needs_entry():
+                if not is_left_logged:
+                    rank = self._node.table.local_domain_rank()
+                    log.info("entry left to others", rank=rank)
+                is_left_logged = True
                 await curio.sleep(ENTRY_CHECK_INTERVAL_S)
                 continue
             try:
--- a/tests/cases.py
+++ b/tests/cases.py
@@ -5,13 +5,16 @@
 
 import curio
 import testtools
+from testtools.content import text_content
 
 from guavagap.errors import GuavagapError
 from standins.fleet import open_fleet
 
-__all__ = ["AsyncTestCase", "FleetTestCase"]
+__all__ = ["AsyncTestCase", "FleetTestCase", "attach_logs_on_failure"]
 
 ASYNC_TIMEOUT_S = 60.0
+# The end of a process's log that is added to the report of a failed test.
+MAX_LOG_CHARACTERS = 4000
 
 
 class AsyncTestCase(testtools.TestCase):
@@ -36,6 +39,17 @@
             self.fail(f"no GuavagapError of {kind} was raised")
 
 
+def attach_logs_on_failure(case: testtools.TestCase, folder: Path) -> None:
+    """Add the ends of the processes' logs to the report of a test that fails."""
+
+    def attach(exc_info) -> None:
+        for path in sorted(folder.glob("*.log")):
+            text = path.read_text("utf-8", "replace")[-MAX_LOG_CHARACTERS:]
+            case.addDetail(path.name, text_content(text))
+
+    case.addOnException(attach)
+
+
 class FleetTestCase(testtools.TestCase):
     """A test case that starts real processes and kills them at its end."""
 
@@ -43,6 +57,7 @@
         """Return a fleet with a running platform, closed at the end of the test."""
         folder = tempfile.TemporaryDirectory(prefix="guavagap-test-")
         self.addCleanup(folder.cleanup)
+        attach_logs_on_failure(self, Path(folder.name))
         context = open_fleet(Path(folder.name), **node_options)
         fleet = context.__enter__()
         self.addCleanup(context.__exit__, None, None, None)
--- a/tests/operator_cases.py
+++ b/tests/operator_cases.py
@@ -6,6 +6,7 @@
 import testtools
 
 from standins.operator_fleet import RouteSpec, open_operator_fleet
+from tests.cases import attach_logs_on_failure
 
 __all__ = ["DEFAULT_ROUTES", "GRACE_S", "LAYOUT", "OperatorTestCase"]
 
@@ -28,6 +29,7 @@
     ):
         folder = tempfile.TemporaryDirectory(prefix="guavagap-test-")
         self.addCleanup(folder.cleanup)
+        attach_logs_on_failure(self, Path(folder.name))
         context = open_operator_fleet(
             Path(folder.name), drain_timeout_s=str(GRACE_S), **self.node_options
         )
