--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -25,6 +25,14 @@
 from guavagap.membership import CROSS_DOMAIN_PROBE_SHARE
 from guavagap.messages import DatagramKind
 from guavagap.metadata_store import Lease, Listing, MetadataStore, MirrorItem, Write
+from guavagap.node_entries import (
+    ENTRY_PREFIX,
+    JOIN_TIMEOUT_S,
+    JoinState,
+    choose_entries,
+    entry_key,
+    needs_entry,
+)
 from guavagap.retries import RetryBudget
 from guavagap.rollout_records import RECORD_PREFIX
 from guavagap.rollout_repositories import RecordRolloutRepository
@@ -35,7 +43,6 @@
 __all__ = [
     "OperatorAdapter",
     "OperatorDeployment",
-    "choose_entries",
     "obtain_mesh_key",
 ]
 
@@ -48,16 +55,12 @@
 # A process that terminates is restarted within seconds.
 RECENTLY_DEPARTED_S = 30.0
 MAX_DEPARTED_MEMBERS_PINGED = 2
-ENTRY_PREFIX = "mesh/node/"
 # An entry survives a short outage of the store and expires soon after its node
 # terminates.
 ENTRY_TTL_S = 30.0
 ENTRY_RENEWAL_INTERVAL_S = 10.0
 ENTRY_CHECK_INTERVAL_S = 0.5
 MAX_ENTRY_RETRY_DELAY_S = 1.0
-# Members of each failure domain that keep an entry, enough for a starting node to find
-# one that runs. Each entry costs billed calls.
-ENTRY_HOLDERS = 4
 LISTING_POLL_INTERVAL_S = 0.05
 # When all nodes start at the same time, they list the store before any of them has
 # written an entry. Some write theirs at once, and so does the one that has created the
@@ -67,8 +70,6 @@
 ENTRY_DELAY_S = 1.0
 INTRODUCE_INTERVAL_S = 0.3
 SYNC_POLL_INTERVAL_S = 0.02
-# Other nodes respond within milliseconds unless they are stopped or unreachable.
-JOIN_TIMEOUT_S = 1.0
 KEY_BACKOFF_FIRST_S = 0.1
 KEY_BACKOFF_LIMIT_S = 1.0
 # When all nodes start for the first time, few of them should create the key and the
@@ -76,10 +77,6 @@
 # does so within a second.
 FIRST_CREATOR_SHARE = 1 / 128
 KEY_ROUND_INTERVAL_S = 0.12
-# Enough contacts for membership to spread even if some of them are stopped; few in
-# other failure domains, where traffic is billed.
-MAX_INTRODUCTIONS = 6
-MAX_REMOTE_INTRODUCTIONS = 2
 # Clients check readiness once a second and detect within two checks that a node is
 # not ready.
 ACCEPT_GRACE_S = 2.4
@@ -150,6 +147,7 @@
         self._adapter = adapter
         self._store_relay: StoreRelay | None = None
         self._node = None
+        self._entry_key = entry_key(settings.failure_domain, settings.node_id)
         self._entries: dict[str, bytes] = {}
         if isinstance(key, KeyOffer):
             self._entries[KEY_PROVIDER_ENTRY] = format_address(key.provider).encode()
@@ -225,7 +223,7 @@
 
     def _on_listing(self, listing: Listing) -> None:
         """Record the entries of other nodes, and the loss of the local entry."""
-        local_key = _entry_key(self._settings)
+        local_key = self._entry_key
         if self._listed_at_s is None:
             self._listed_at_s = steady_s()
         if listing.is_complete:
@@ -276,7 +274,7 @@
 
     async def _introduce(self) -> None:
         membership, table = self._node.membership, self._node.table
-        for key in choose_entries(list(self._entries), self._settings.failure_domain):
+        for key in choose_entries(self._entries, self._settings.failure_domain):
             try:
                 address = parse_address(self._entries[key].decode("ascii"))
             except ValueError as error:
@@ -312,19 +310,14 @@
             await self._wait_for_renewal()
 
     def _needs_entry(self) -> bool:
-        """Return whether starting nodes of the failure domain need this node's entry.
-
-        A node that knows others needs one if it is among the first ``ENTRY_HOLDERS``
-        members; of these, none sees more members before it than there are. A node that
-        knows nobody writes one if few are listed, or if those that are do not respond.
-        """
+        """Return whether starting nodes of the failure domain need its entry."""
         table = self._node.table
-        if table.has_alive_peer():
-            return table.local_domain_rank() < ENTRY_HOLDERS
-        if steady_s() - self._listed_at_s > JOIN_TIMEOUT_S:
-            return True
-        prefix = _entry_prefix(self._settings.failure_domain)
-        return sum(key.startswith(prefix) for key in self._entries) < ENTRY_HOLDERS
+        state = JoinState(
+            table.has_alive_peer(),
+            table.local_domain_rank(),
+            steady_s() - self._listed_at_s,
+        )
+        return needs_entry(state, self._entries, self._settings.failure_domain)
 
     async def _wait_for_renewal(self) -> None:
         """Wait until the entry must be renewed or is found to be lost."""
@@ -343,7 +336,7 @@
             return lease
         if lease is None:
             lease = await store.grant_lease(ENTRY_TTL_S)
-        key = _entry_key(self._settings)
+        key = self._entry_key
         address = format_address(self._settings.mesh_address).encode()
         outcome = await store.transact({}, [Write(key, address, lease.lease_id)])
         self._entry_revision = outcome.revision or 0
@@ -352,27 +345,6 @@
         return lease
 
 
-def choose_entries(keys: list[str], failure_domain: str) -> list[str]:
-    """Return keys of entries to contact, most of them of one failure domain."""
-    prefix = _entry_prefix(failure_domain)
-    local = [key for key in keys if key.startswith(prefix)]
-    remote = [key for key in keys if not key.startswith(prefix)]
-    remote_count = max(MAX_INTRODUCTIONS - len(local), MAX_REMOTE_INTRODUCTIONS)
-    chosen = random.sample(remote, min(remote_count, len(remote)))
-    local_count = min(MAX_INTRODUCTIONS - len(chosen), len(local))
-    return chosen + random.sample(local, local_count)
-
-
-def _entry_prefix(failure_domain: str) -> str:
-    """Return the prefix of the entries of a failure domain."""
-    return f"{ENTRY_PREFIX}{failure_domain}/"
-
-
-def _entry_key(settings: Settings) -> str:
-    """Return the key of the local entry."""
-    return _entry_prefix(settings.failure_domain) + settings.node_id
-
-
 async def obtain_mesh_key(
     store: MetadataStore, mesh_address: Address
 ) -> KeyOffer | StoredKey:
--- a/tests/test_operator_mesh.py
+++ b/tests/test_operator_mesh.py
@@ -8,7 +8,7 @@
 import time
 from collections import Counter
 
-from guavagap.operator_deployment import ENTRY_HOLDERS
+from guavagap.node_entries import ENTRY_HOLDERS
 from guavagap.rendezvous import rendezvous_order
 from guavagap.scheduling.refusals import DELAY_SPREAD, MIN_DELAY_S
 from standins.fleet import wait_until
