--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -87,7 +87,8 @@
 
     def test_malformed_bodies_of_a_known_key_are_invalid(self):
         compressor = zlib.compressobj(1, zlib.DEFLATED, datagrams.WINDOW_BITS)
-        large = compressor.compress(bytes(10_000_000)) + compressor.flush()
+        message = datagrams.encode_datagram(make_datagram(2))
+        large = compressor.compress(message + bytes(10_000_000)) + compressor.flush()
         for body in (b"", b"\x00", b"\x01", b"\x01" + random.Random(1).randbytes(60)):
             self.assert_invalid(body)
         self.assert_invalid(b"\x01" + large)
