Choose the members to probe and to gossip to in a module of its own

The three choices need only rows and a failure domain, so they are plain functions in peer_choice.py now; no behaviour changes.

--- a/guavagap/membership.py
+++ b/guavagap/membership.py
@@ -22,14 +22,17 @@
 from guavagap.logs import get_logger
 from guavagap.members import MemberTable
 from guavagap.messages import Datagram, DatagramKind, Member, MemberState, PoisonMark
+from guavagap.peer_choice import (
+    choose_gossip_targets,
+    choose_indirect_probers,
+    choose_probe_target,
+)
 from guavagap.tasks import TaskScope
 from guavagap.tcp import open_udp_socket
 
 __all__ = [
-    "CROSS_DOMAIN_PROBE_SHARE",
     "DatagramHeader",
     "Membership",
-    "choose_gossip_targets",
 ]
 
 log = get_logger()
@@ -39,10 +42,7 @@
 # only. Comparisons of tables bring the rest.
 MAX_REMOTE_ROWS_PER_PROBE = 1
 MAX_MARKS_PER_DATAGRAM = 4
-INDIRECT_PROBES = 3
 ACK_TIMEOUT_SHARE = 0.4
-CROSS_DOMAIN_PROBE_SHARE = 1 / 8
-CROSS_DOMAIN_GOSSIP_SHARE = 1 / 3
 RECONNECT_PROBABILITY = 1 / 10
 # A probe waits for at most two acknowledgement timeouts, less than one interval. If it
 # takes longer than this many intervals, this process was stopped meanwhile.
@@ -299,7 +299,10 @@
 
     async def _probe_once(self, started_s: float) -> None:
         await self._maybe_reconnect()
-        target = self._choose_target()
+        target = choose_probe_target(
+            self.table.peers_in_state(MemberState.ALIVE, MemberState.SUSPECT),
+            self.table.local.failure_domain,
+        )
         if target is None:
             await self._expire_suspicions()
             return
@@ -324,12 +327,16 @@
         address = parse_address(target.mesh_address)
         if await self.ping(address, timeout_s, extra, limit):
             return True
-        peers = self._indirect_probers(target)
+        peers = choose_indirect_probers(
+            target,
+            self.table.peers_in_state(MemberState.ALIVE),
+            self.table.local.failure_domain,
+        )
         self._token += 1
         token = self._token
         event = self._pending_acks[token] = curio.Event()
         try:
-            for peer in random.sample(peers, min(INDIRECT_PROBES, len(peers))):
+            for peer in peers:
                 await self.send(
                     parse_address(peer.mesh_address),
                     DatagramKind.PING_REQUEST,
@@ -341,32 +348,6 @@
         finally:
             del self._pending_acks[token]
 
-    def _indirect_probers(self, target: Member) -> list[Member]:
-        """Return members that may probe another one for this node.
-
-        A member of the local failure domain is probed from inside it if possible,
-        since traffic to others is billed.
-        """
-        local_domain = self.table.local.failure_domain
-        peers = [
-            member
-            for member in self.table.peers_in_state(MemberState.ALIVE)
-            if member.node_id != target.node_id
-        ]
-        if target.failure_domain != local_domain:
-            return peers
-        local = [item for item in peers if item.failure_domain == local_domain]
-        return local if len(local) >= INDIRECT_PROBES else peers
-
-    def _choose_target(self) -> Member | None:
-        members = self.table.peers_in_state(MemberState.ALIVE, MemberState.SUSPECT)
-        local_domain = self.table.local.failure_domain
-        same_domain = [row for row in members if row.failure_domain == local_domain]
-        remote = [row for row in members if row.failure_domain != local_domain]
-        if remote and (not same_domain or random.random() < CROSS_DOMAIN_PROBE_SHARE):
-            return random.choice(remote)
-        return random.choice(same_domain) if same_domain else None
-
     async def _maybe_reconnect(self) -> None:
         """Occasionally probe a dead member or a configured peer to heal partitions."""
         if random.random() >= RECONNECT_PROBABILITY and len(self.table) > 1:
@@ -411,15 +392,3 @@
 async def _wait_for(event: curio.Event) -> bool:
     await event.wait()
     return True
-
-
-def choose_gossip_targets(
-    peers: list[Member], failure_domain: str, count: int
-) -> list[Member]:
-    """Return random members to gossip to, most of them of one failure domain."""
-    local = [row for row in peers if row.failure_domain == failure_domain]
-    remote = [row for row in peers if row.failure_domain != failure_domain]
-    remote_count = max(count - len(local), int(count * CROSS_DOMAIN_GOSSIP_SHARE))
-    targets = random.sample(remote, min(remote_count, len(remote)))
-    local_count = min(count - len(targets), len(local))
-    return targets + random.sample(local, local_count)
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -22,7 +22,6 @@
 from guavagap.head import Rollout
 from guavagap.key_transfer import KeyOffer, request_key
 from guavagap.logs import get_logger
-from guavagap.membership import CROSS_DOMAIN_PROBE_SHARE
 from guavagap.messages import DatagramKind
 from guavagap.metadata_store import Lease, Listing, MetadataStore, MirrorItem, Write
 from guavagap.node_entries import (
@@ -33,6 +32,7 @@
     entry_key,
     needs_entry,
 )
+from guavagap.peer_choice import CROSS_DOMAIN_PROBE_SHARE
 from guavagap.retries import RetryBudget
 from guavagap.rollout_records import RECORD_PREFIX
 from guavagap.rollout_repositories import RecordRolloutRepository
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,8 +7,8 @@
 
 from guavagap.dissemination import FAN_OUT, push_children, push_order
 from guavagap.members import MemberTable
-from guavagap.membership import choose_gossip_targets
 from guavagap.messages import Member, MemberState
+from guavagap.peer_choice import choose_gossip_targets
 
 
 def make_member(node_id: str, incarnation: int = 1, state: int = 0, domain: str = "d"):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,12 +11,12 @@
 from guavagap.faults import BlockedAddresses
 from guavagap.members import MemberTable
 from guavagap.membership import (
-    INDIRECT_PROBES,
     MAX_REMOTE_ROWS_PER_PROBE,
     MAX_ROWS_PER_DATAGRAM,
     Membership,
 )
 from guavagap.messages import Datagram, DatagramKind, Member
+from guavagap.peer_choice import INDIRECT_PROBES
 
 KEY = b"a key of the mesh for tests"
 HEADER = {"epoch": 1, "head_digest": 0, "notices_digest": 0}
