--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -71,6 +71,8 @@
 
 
 _allocated_ports: set[int] = set()
+# Independent of the seed that a test may set, since several test runs share the ports.
+_port_source = random.SystemRandom()
 
 
 def _is_port_free(port: int) -> bool:
@@ -91,7 +93,7 @@
     """
     ports: list[int] = []
     while len(ports) < count:
-        port = random.randint(MIN_PORT, MAX_PORT)
+        port = _port_source.randint(MIN_PORT, MAX_PORT)
         if port not in _allocated_ports and _is_port_free(port):
             _allocated_ports.add(port)
             ports.append(port)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -41,6 +41,11 @@
 
 
 class ProbeTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.addCleanup(random.setstate, random.getstate())
+        random.seed(1)
+
     def make(self) -> Membership:
         """Return the membership of a0, with changes of all members to gossip."""
         table = MemberTable(make_row("a", 0), steady_s)
@@ -66,7 +71,6 @@
     def probe(self, domain: str) -> list[tuple[Address, Datagram]]:
         """Probe a member that does not respond; return what was sent."""
         membership = self.make()
-        random.seed(1)
         curio.run(membership._probe, membership.table.get(f"{domain}3"))
         return membership._sock.sent
 
