--- a/guavagap/store_relay.py
+++ b/guavagap/store_relay.py
@@ -101,11 +101,12 @@
             if has_relay or self._is_joining():
                 await curio.sleep(IDLE_CHECK_S)
                 continue
+            started_s = steady_s()
             try:
                 await self.watch_once()
                 backoff.reset()
             except GuavagapError as error:
-                self._record_store_failure(error)
+                self._record_store_failure(error, started_s)
                 await curio.sleep(backoff.next_s())
 
     @property
@@ -167,10 +168,18 @@
             self._is_store_unreachable = False
             log.info("store reachable again", revision=listing.as_of)
 
-    def _record_store_failure(self, error: GuavagapError) -> None:
-        if not self._is_store_unreachable:
-            self._is_store_unreachable = True
-            log.warning("store unreachable", kind=error.kind.value, why=error.detail)
+    def _record_store_failure(self, error: GuavagapError, started_s: float) -> None:
+        is_first = not self._is_store_unreachable
+        self._is_store_unreachable = True
+        now_s = steady_s()
+        write_line = log.warning if is_first else log.info
+        write_line(
+            "store unreachable" if is_first else "store still unreachable",
+            kind=error.kind.value,
+            why=error.detail,
+            waited_s=round(now_s - started_s, 3),
+            contact_age_s=round(now_s - self._store_contact_at_s, 3),
+        )
 
     async def _mirror(self, listing: Listing) -> bool:
         """Apply and push changes of the configuration; return whether there are any."""
