--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -2,7 +2,8 @@
 
 ``PUT /knobs`` with a JSON object injects faults: ``delay_s`` delays every response,
 ``is_down`` closes connections without a response, ``busy_status`` rejects every call
-with that status, ``lose_write_answers`` applies that many writes but closes the
+with that status, ``is_silent`` leaves calls without a response for good, also after
+it is reset, ``lose_write_answers`` applies that many writes but closes the
 connection without a response, ``garble_answers`` corrupts that many responses. ``GET
 /counts`` returns the number of calls by kind; ``GET`` and ``PUT /items/KEY`` read and
 write a key with its owner's permissions, unaffected by the knobs; ``POST /compact``
@@ -55,6 +56,7 @@
         self.knobs = {
             "delay_s": 0.0,
             "is_down": False,
+            "is_silent": False,
             "busy_status": 0,
             "lose_write_answers": 0,
             "garble_answers": 0,
@@ -90,16 +92,23 @@
     async def _handle_call(self, url, request: HttpRequest) -> HttpResponse:
         if self.knobs["is_down"]:
             raise ConnectionDropped("down")
+        await self._withhold_if_silent()
         if self.knobs["delay_s"]:
             await curio.sleep(self.knobs["delay_s"])
         if self.knobs["busy_status"]:
             return _json_response(self.knobs["busy_status"], {"error": "busy"})
         response = await self._dispatch_call(url, request)
+        await self._withhold_if_silent()
         if self.knobs["garble_answers"] > 0:
             self.knobs["garble_answers"] -= 1
             return response._replace(body=b"\x00" + response.body)
         return response
 
+    async def _withhold_if_silent(self) -> None:
+        """Leave a call without a response for as long as its connection exists."""
+        if self.knobs["is_silent"]:
+            await curio.Event().wait()
+
     async def _dispatch_call(self, url, request: HttpRequest) -> HttpResponse:
         name = url.path.removeprefix("/api/").partition("/")[0]
         self.counts[name] += 1
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -1,13 +1,26 @@
 """Tests of how a relay watches the metadata store."""
 
+import random
 from types import SimpleNamespace
 from unittest.mock import patch
 
 import curio
 
+from guavagap.addresses import Address
+from guavagap.declared_configuration import DeclaredConfiguration
 from guavagap.metadata_store import Listing, MirrorItem
+from guavagap.platform.store import open_store_client
 from guavagap.store_relay import StoreRelay
+from guavagap.tasks import open_task_scope
+from standins.fleet import allocate_ports
+from standins.platform_server import open_platform_server
 from tests.cases import AsyncTestCase
+from tests.virtual_time import run_in_virtual_time
+
+# Bounds that the platform specifies: a change is in force within CONFIG_BOUND_S of its
+# acknowledgement, and no earlier than STABLE_WINDOW_S after an outage of the store.
+CONFIG_BOUND_S = 2.0
+STABLE_WINDOW_S = 3.0
 
 
 class _Store:
@@ -89,3 +102,63 @@
     async def watch_all(self, relay, seen):
         while len(seen) < 20:
             await relay.watch_once()
+
+
+class StoreOutageTests(AsyncTestCase):
+    """The way of a change from the store to a relay, in virtual time."""
+
+    def test_change_after_a_silent_outage_is_mirrored_in_time(self):
+        late = {}
+        for phase_tenths in range(0, 30, 3):
+            for outage_s in (0.05, 0.5, 1.5, 4.0, 8.0):
+                delay_s = self.measure_outage(phase_tenths / 10, outage_s)
+                if delay_s > CONFIG_BOUND_S:
+                    late[phase_tenths / 10, outage_s] = round(delay_s, 2)
+        self.assertEqual({}, late)
+
+    def measure_outage(self, phase_s: float, outage_s: float) -> float:
+        """Return the time from a change to its arrival at the relay.
+
+        The outage starts ``phase_s`` after the last change. The next change is made so
+        long after it that its bound ends with the time that the outage excuses.
+        """
+
+        async def case(clock):
+            address = Address("127.0.0.1", allocate_ports(1)[0])
+            async with (
+                open_platform_server(address) as server,
+                open_store_client(address) as client,
+                open_task_scope("test") as scope,
+            ):
+                configuration = self.make_configuration()
+                relay = self.make_relay(client, configuration)
+                await scope.spawn(relay.run, scope)
+                await curio.sleep(5.0)
+                await self.change(server, configuration, clock)
+                await curio.sleep(phase_s)
+                server.knobs["is_silent"] = True
+                await curio.sleep(outage_s)
+                server.knobs["is_silent"] = False
+                await curio.sleep(STABLE_WINDOW_S - CONFIG_BOUND_S)
+                return await self.change(server, configuration, clock)
+
+        with patch("guavagap.backoff.random", random.Random(27)):
+            return run_in_virtual_time(case, modules=("standins.platform_server",))
+
+    async def change(self, server, configuration, clock) -> float:
+        """Write a key and return the time until it is mirrored."""
+        started_s = clock()
+        revision = await server.store.transact({}, [("op/config", b"{}", 0)], [])
+        while configuration.epoch < revision:
+            await curio.sleep(0.01)
+        return clock() - started_s
+
+    def make_configuration(self) -> DeclaredConfiguration:
+        return DeclaredConfiguration(lambda key: True, lambda item: None)
+
+    def make_relay(self, client, configuration) -> StoreRelay:
+        table = SimpleNamespace(local_domain_rank=lambda: 0, publish=lambda **_: 0)
+        disseminator = SimpleNamespace(
+            relay_seen_at_s=float("-inf"), push_as_root=_ignore, push_heartbeat=_ignore
+        )
+        return StoreRelay(client, table, configuration, disseminator, lambda _: None)
