--- a/guavagap/relay.py
+++ b/guavagap/relay.py
@@ -37,7 +37,8 @@
 log = get_logger()
 
 RELAY_CANDIDATES = 3
-HEAD_WATCH_TIMEOUT_S = 20.0
+# A watch that is never answered delays a new head by this and the time limit of a call.
+HEAD_WATCH_TIMEOUT_S = 8.0
 RENEWALS_PER_TTL = 3
 LEASE_POLL_SHARE_OF_TTL = 0.5
 RANK_DELAY_SHARE_OF_TTL = 0.05
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -2,8 +2,8 @@
 
 ``PUT /knobs`` with a JSON object injects faults: ``delay_s`` delays every response,
 ``is_down`` closes connections without a response, ``busy_status`` rejects every call
-with that status, ``is_silent`` leaves calls without a response for good, also after
-it is reset, ``lose_write_answers`` applies that many writes but closes the
+with that status, ``is_silent`` leaves calls that arrive or wait meanwhile without a
+response for good, ``lose_write_answers`` applies that many writes but closes the
 connection without a response, ``garble_answers`` corrupts that many responses. ``GET
 /counts`` returns the number of calls by kind; ``GET`` and ``PUT /items/KEY`` read and
 write a key with its owner's permissions, unaffected by the knobs; ``POST /compact``
@@ -61,6 +61,7 @@
             "lose_write_answers": 0,
             "garble_answers": 0,
         }
+        self._silence_count = 0
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle a call to the store or to a control endpoint."""
@@ -69,9 +70,14 @@
             return await self._handle_call(url, request)
         return await self._handle_control(url.path, request)
 
+    def set_knobs(self, **knobs) -> None:
+        """Change the injected faults."""
+        self._silence_count += bool(knobs.get("is_silent"))
+        self.knobs.update(knobs)
+
     async def _handle_control(self, path: str, request: HttpRequest) -> HttpResponse:
         if path == "/knobs":
-            self.knobs.update(json.loads(request.body))
+            self.set_knobs(**json.loads(request.body))
             await self.store.notify_watches()
             return HttpResponse(204, [])
         if path == "/counts":
@@ -92,23 +98,19 @@
     async def _handle_call(self, url, request: HttpRequest) -> HttpResponse:
         if self.knobs["is_down"]:
             raise ConnectionDropped("down")
-        await self._withhold_if_silent()
+        silence_count = self._silence_count
         if self.knobs["delay_s"]:
             await curio.sleep(self.knobs["delay_s"])
         if self.knobs["busy_status"]:
             return _json_response(self.knobs["busy_status"], {"error": "busy"})
         response = await self._dispatch_call(url, request)
-        await self._withhold_if_silent()
+        if self.knobs["is_silent"] or silence_count != self._silence_count:
+            await curio.Event().wait()
         if self.knobs["garble_answers"] > 0:
             self.knobs["garble_answers"] -= 1
             return response._replace(body=b"\x00" + response.body)
         return response
 
-    async def _withhold_if_silent(self) -> None:
-        """Leave a call without a response for as long as its connection exists."""
-        if self.knobs["is_silent"]:
-            await curio.Event().wait()
-
     async def _dispatch_call(self, url, request: HttpRequest) -> HttpResponse:
         name = url.path.removeprefix("/api/").partition("/")[0]
         self.counts[name] += 1
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -108,12 +108,12 @@
             async with curio.TaskGroup() as group:
                 for key in "abc":
                     await group.spawn(client.get, key)
-            server.knobs["is_silent"] = True
+            server.set_knobs(is_silent=True)
             await self.assert_error_kind(
                 ErrorKind.PLATFORM_UNREACHABLE, client.get("a")
             )
             idle_connections = client.idle_connection_count
-            server.knobs["is_silent"] = False
+            server.set_knobs(is_silent=False)
             await client.get("a")
             self.assertEqual(0, idle_connections)
 
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -138,9 +138,9 @@
                 await curio.sleep(5.0)
                 await self.change(server, configuration, clock)
                 await curio.sleep(phase_s)
-                server.knobs["is_silent"] = True
+                server.set_knobs(is_silent=True)
                 await curio.sleep(outage_s)
-                server.knobs["is_silent"] = False
+                server.set_knobs(is_silent=False)
                 await curio.sleep(STABLE_WINDOW_S - CONFIG_BOUND_S)
                 return await self.change(server, configuration, clock)
 
