--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -1,5 +1,7 @@
 """Connection pool of a backend server and exchanges on its connections."""
 
+from typing import Callable
+
 import h11
 
 from guavagap.addresses import Address
@@ -16,6 +18,7 @@
     header_value,
     validated_headers,
 )
+from guavagap.server_statements import ServerStatement
 
 __all__ = ["BackendConnectionPool", "BackendUpstream", "CONNECT_TIMEOUT_S"]
 
@@ -108,6 +111,7 @@
         may_reuse: returns whether the connection may be kept afterwards.
         server_id: the backend server to run the request on.
         dialect: headers of the backend server.
+        on_statement: called with what the response says about the backend server.
     """
 
     def __init__(
@@ -117,12 +121,14 @@
         may_reuse,
         server_id: str,
         dialect: Dialect = NATIVE_DIALECT,
+        on_statement: Callable[[ServerStatement], None] | None = None,
     ):
         self._connection = connection
         self._pool = pool
         self._may_reuse = may_reuse
         self._server_id = server_id
         self._dialect = dialect
+        self._on_statement = on_statement
         self._head: h11.Request | None = None
         self._sent_id: bytes | None = None
         self._sent_at_s = 0.0
@@ -187,6 +193,8 @@
                 ErrorKind.BACKEND_SERVER_PROTOCOL,
                 "received responses to other requests",
             )
+        if self._on_statement is not None:
+            self._on_statement(self._dialect.read_statement(event.status_code, headers))
         if self._dialect.is_refusal(event.status_code, headers):
             raise GuavagapError(
                 ErrorKind.REFUSED_BY_BACKEND_SERVER, f"status {event.status_code}"
--- a/guavagap/backend_proxy.py
+++ b/guavagap/backend_proxy.py
@@ -18,15 +18,25 @@
     relay_exchange,
 )
 from guavagap.limits import Admission, PermitLedger, direct_connection_limit
+from guavagap.logs import get_logger
 from guavagap.messages import BackendServer
+from guavagap.scheduling.rate_limits import NO_LIMIT
+from guavagap.server_statements import (
+    ServerStatement,
+    from_millihertz,
+    to_millihertz,
+)
 from guavagap.stream_messages import Condition
 
 __all__ = ["BackendProxy"]
 
+log = get_logger()
+
 FAILURE_STATUS = 500
 # The moving averages cover about ten requests: half a second of a busy server.
 EWMA_WEIGHT = 0.1
-# Links carry slowness in 16 bits.
+# Links carry load and slowness in 16 bits.
+MAX_LOAD = 60_000
 MAX_PERMILLE = 60_000
 # The sockets of an exiting process are closed within a few milliseconds of each other.
 PROCESS_EXIT_S = 0.03
@@ -45,6 +55,9 @@
         server: the announcement of the backend server.
         permit_ttl_s: lifetime of permits for direct connections.
         dialect: headers of the backend server.
+
+    Attributes:
+        is_leaving: whether the backend server has said that it takes no new requests.
     """
 
     def __init__(
@@ -54,6 +67,8 @@
         dialect: Dialect = NATIVE_DIALECT,
     ):
         self.server = server
+        self.is_leaving = False
+        self._limit_per_s: float | None = None
         self._dialect = dialect
         self._failure_rate = 0.0
         self._slowness = 0.0
@@ -68,11 +83,41 @@
     def condition(self) -> Condition:
         """Return load, failure rate and slowness, for the nodes that send requests."""
         return Condition(
-            self.admission.in_flight + self.admission.queue_length,
+            min(MAX_LOAD, self.admission.load),
             int(self._failure_rate * 1000),
             min(MAX_PERMILLE, int(self._slowness * 1000)),
+            True,
+            to_millihertz(self._limit_per_s),
+            self.is_leaving,
         )
 
+    def adopt_limit(self, limit_millihertz: int) -> None:
+        """Apply the limit that another node was told, until a response tells."""
+        limit_per_s = from_millihertz(limit_millihertz)
+        if self._limit_per_s is None and limit_per_s is not None:
+            self._set_limit(limit_per_s, "another node")
+
+    def _set_limit(self, limit_per_s: float, source: str) -> None:
+        if limit_per_s == self._limit_per_s:
+            return
+        rate_limit = self.admission.rate_limit
+        if rate_limit.is_limited or limit_per_s != NO_LIMIT:
+            log.info(
+                "backend server limit changed",
+                server=self.server.server_id,
+                before_per_s=self._limit_per_s,
+                limit_per_s=limit_per_s,
+                source=source,
+            )
+            rate_limit.set_rate(limit_per_s, steady_s())
+        self._limit_per_s = limit_per_s
+
+    def _record_statement(self, statement: ServerStatement) -> None:
+        """Apply what a response says about the backend server."""
+        if statement.limit_per_s is not None:
+            self._set_limit(statement.limit_per_s, "response")
+        self.is_leaving |= statement.is_leaving
+
     def _update_means(self, request: ForwardedRequest, is_failure: bool, run_s: float):
         """Update the moving averages with the outcome of a run."""
         self._failure_rate += EWMA_WEIGHT * (is_failure - self._failure_rate)
@@ -127,6 +172,7 @@
                 _may_always_reuse,
                 self.server.server_id,
                 self._dialect,
+                self._record_statement,
             )
             attempt.upstream = upstream
             return await self._run_exchange(
--- a/guavagap/dialect.py
+++ b/guavagap/dialect.py
@@ -6,6 +6,7 @@
 from typing import Callable, NamedTuple
 
 from guavagap.errors import ErrorKind, error_spec
+from guavagap.server_statements import NO_STATEMENT, ServerStatement
 
 __all__ = [
     "Dialect",
@@ -37,6 +38,8 @@
         via: headers added to forwarded requests and responses.
         read_load: returns the requests in flight on a backend server according to
             the headers of its response, or None.
+        read_statement: returns what a response with a status and headers says about
+            its backend server.
         is_refusal: returns whether a response says that the request was not run.
         status_of: returns the status of an error response of the node.
         error_headers: returns the headers of an error response of the node, from
@@ -52,6 +55,7 @@
     expected_server: bytes
     via: tuple[tuple[bytes, bytes], ...]
     read_load: Callable[[Headers], int | None]
+    read_statement: Callable[[int, Headers], ServerStatement]
     is_refusal: Callable[[int, Headers], bool]
     status_of: Callable[[ErrorKind], int]
     error_headers: Callable[[bool, float | None], Headers]
@@ -90,6 +94,7 @@
     expected_server=b"",
     via=((b"via", b"1.1 guavagap"),),
     read_load=_read_native_load,
+    read_statement=lambda status, headers: NO_STATEMENT,
     is_refusal=_is_native_refusal,
     status_of=_native_status,
     error_headers=_native_error_headers,
--- a/guavagap/directory.py
+++ b/guavagap/directory.py
@@ -9,6 +9,7 @@
 from guavagap.clock import steady_s
 from guavagap.members import MemberTable
 from guavagap.messages import BackendServer, MemberState
+from guavagap.server_statements import ServerMemory
 from guavagap.stream_messages import Condition
 
 __all__ = ["Directory", "ServerHealth", "Target"]
@@ -27,6 +28,7 @@
 EJECT_FAILURE_PERMILLE = 200
 REPORTED_EJECTION_S = 2.0
 SLOWNESS_TTL_S = 3.0
+MAX_MEMORIES_OF_ABSENT = 1000
 
 
 class ServerHealth:
@@ -41,6 +43,7 @@
         ejections: ejections since the latest success; each doubles the duration.
         is_warm: whether slow start is over.
         slowness: mean run time reported for it, as a share of the target latency.
+        memory: what it has said about itself.
     """
 
     __slots__ = (
@@ -53,9 +56,10 @@
         "first_seen_s",
         "is_warm",
         "slowness",
+        "memory",
     )
 
-    def __init__(self, now_s: float, is_warm: bool):
+    def __init__(self, now_s: float, is_warm: bool, memory: ServerMemory | None = None):
         self.in_flight = 0
         self.reported_in_flight = 0
         self.reported_at_s = 0.0
@@ -65,11 +69,13 @@
         self.first_seen_s = now_s
         self.is_warm = is_warm
         self.slowness = 0.0
+        self.memory = memory or ServerMemory()
 
     def update_condition(self, condition: Condition, now_s: float) -> None:
         """Apply the condition reported by the owner node of the backend server."""
         if not condition.is_known:
             return
+        self.memory.record(condition, now_s)
         self.update_load(condition.load, now_s)
         self.slowness = condition.slowness_permille / 1000
         if condition.failure_permille > EJECT_FAILURE_PERMILLE:
@@ -154,6 +160,8 @@
         self._by_id: dict[str, Target] = {}
         self._version_counts: dict[tuple[str, str], dict[str, int]] = {}
         self._health: dict[str, ServerHealth] = {}
+        # Also of backend servers that are absent while their owner node restarts.
+        self._memories: dict[str, ServerMemory] = {}
         # The targets that were made of each row.
         self._row_targets: dict[str, tuple] = {}
         self._is_first_build = True
@@ -214,6 +222,10 @@
             self._health = {
                 key: value for key, value in self._health.items() if key in by_id
             }
+        if len(self._memories) > len(by_id) + MAX_MEMORIES_OF_ABSENT:
+            self._memories = {
+                key: value for key, value in self._memories.items() if key in by_id
+            }
         self._is_first_build = False
 
     def _make_targets(self, row, now_s: float) -> list[tuple[tuple, Target]]:
@@ -230,7 +242,8 @@
     def _make_target(self, row, server: BackendServer, now_s: float) -> Target:
         health = self._health.get(server.server_id)
         if health is None:
-            health = ServerHealth(now_s, is_warm=self._is_first_build)
+            memory = self._memories.setdefault(server.server_id, ServerMemory())
+            health = ServerHealth(now_s, self._is_first_build, memory)
             self._health[server.server_id] = health
         is_suspect = row.state == MemberState.SUSPECT
         return Target(
--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -77,6 +77,7 @@
         stream.close()
         return
     stream.cancel_on_reset(await curio.current_task())
+    node.adopt_limit(opening.server_id, opening.limit_millihertz)
 
     def read_condition() -> Condition:
         return node.read_condition(opening.server_id)
--- a/guavagap/limits.py
+++ b/guavagap/limits.py
@@ -1,10 +1,11 @@
 """Limits of one backend server, enforced by its owner node.
 
-``Admission`` bounds the requests in flight and queues a few more. ``PermitLedger``
-bounds the direct connections of other nodes.
+``Admission`` bounds the requests in flight and their rate, and queues a few more.
+``PermitLedger`` bounds the direct connections of other nodes.
 """
 
 import heapq
+import math
 from contextlib import asynccontextmanager
 from itertools import count
 from typing import NamedTuple
@@ -13,6 +14,7 @@
 
 from guavagap.clock import steady_s
 from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.scheduling.rate_limits import RateLimit, equivalent_load
 
 __all__ = ["Admission", "PermitLedger", "direct_connection_limit"]
 
@@ -41,16 +43,24 @@
     """A request that waits for a slot.
 
     Attributes:
-        event: set when the request gets a slot or is refused.
+        event: set when the request gets a slot, is refused, or has become the next
+            one that may be sent.
+        is_admitted: whether it has a slot.
         refusal: error of a refused request, None otherwise.
     """
 
-    __slots__ = ("event", "refusal")
+    __slots__ = ("event", "is_admitted", "refusal")
 
     def __init__(self):
         self.event = curio.Event()
+        self.is_admitted = False
         self.refusal: GuavagapError | None = None
 
+    @property
+    def is_decided(self) -> bool:
+        """Whether the request has a slot or is refused."""
+        return self.is_admitted or self.refusal is not None
+
 
 class Admission:
     """Admits up to ``slots`` requests; a bounded queue is served earliest due first.
@@ -58,10 +68,14 @@
     Args:
         slots: maximum number of concurrent requests.
         clock: returns seconds of a steady clock.
+
+    Attributes:
+        rate_limit: limit of the requests a second.
     """
 
     def __init__(self, slots: int, clock=steady_s):
         self.slots = slots
+        self.rate_limit = RateLimit()
         self._clock = clock
         self.in_flight = 0
         self.is_draining = False
@@ -74,6 +88,16 @@
         """Number of requests that wait for a slot."""
         return len(self._waiters)
 
+    @property
+    def load(self) -> int:
+        """Number of requests that run or wait, or that would delay a new one as much.
+
+        A rate limit delays requests although slots are free.
+        """
+        load = self.in_flight + len(self._waiters)
+        wait_s = self.rate_limit.wait_s(len(self._waiters), self._clock())
+        return max(load, equivalent_load(wait_s, self.slots, self._mean_run_s))
+
     async def start_draining(self) -> None:
         """Refuse new and waiting requests."""
         self.is_draining = True
@@ -121,13 +145,23 @@
     def expected_wait_s(self, due_at_s: float) -> float:
         """Return the expected wait for a slot, based on recent run times."""
         ahead = sum(entry[0] <= due_at_s for entry in self._waiters)
-        return (ahead + 1) * self._mean_run_s / self.slots
+        free = self.slots - self.in_flight
+        slot_wait_s = max(0, ahead + 1 - free) * self._mean_run_s / self.slots
+        return max(slot_wait_s, self.rate_limit.wait_s(ahead, self._clock()))
+
+    def _try_start(self) -> bool:
+        """Take a slot and a share of the rate; return False if one is missing."""
+        if self.in_flight >= self.slots:
+            return False
+        if not self.rate_limit.try_use(self._clock()):
+            return False
+        self.in_flight += 1
+        return True
 
     async def _acquire_slot(self, due_at_s: float, max_wait_s: float | None) -> None:
         if self.is_draining:
             raise GuavagapError(ErrorKind.DRAINING, "the backend server is draining")
-        if self.in_flight < self.slots:
-            self.in_flight += 1
+        if not self._waiters and self._try_start():
             return
         if max_wait_s is not None and self.expected_wait_s(due_at_s) > max_wait_s:
             raise GuavagapError(ErrorKind.SLOTS_TAKEN, "all slots are in use")
@@ -137,22 +171,62 @@
         entry = (due_at_s, next(self._arrival_numbers), waiter)
         heapq.heappush(self._waiters, entry)
         try:
-            if max_wait_s is None:
-                await waiter.event.wait()
-            else:
-                await curio.ignore_after(max_wait_s, waiter.event.wait)
+            await self._wait(waiter, max_wait_s)
         except BaseException:
-            if waiter.event.is_set() and waiter.refusal is None:
+            if waiter.is_admitted:
                 await self._release_slot()
             else:
-                self._remove_waiter(entry)
+                await self._withdraw(entry)
             raise
         if waiter.refusal is not None:
             raise waiter.refusal
-        if not waiter.event.is_set():
-            self._remove_waiter(entry)
+        if not waiter.is_admitted:
+            await self._withdraw(entry)
             raise GuavagapError(ErrorKind.OVERLOADED, "timed out waiting for a slot")
 
+    async def _wait(self, waiter: _Waiter, max_wait_s: float | None) -> None:
+        """Wait until the request has a slot, is refused, or has waited too long."""
+        end_s = math.inf if max_wait_s is None else self._clock() + max_wait_s
+        while not waiter.is_decided:
+            now_s = self._clock()
+            if now_s >= end_s:
+                return
+            until_s = min(end_s, self._next_start_s(waiter, now_s))
+            if until_s == math.inf:
+                await waiter.event.wait()
+            else:
+                await curio.ignore_after(until_s - now_s, waiter.event.wait)
+            waiter.event.clear()
+            await self._start_waiters(waiter)
+
+    def _next_start_s(self, waiter: _Waiter, now_s: float) -> float:
+        """Return when the rate limit admits the next request, if it is this one."""
+        is_next = bool(self._waiters) and self._waiters[0][2] is waiter
+        if not is_next or self.in_flight >= self.slots:
+            return math.inf
+        return now_s + self.rate_limit.wait_s(0, now_s)
+
+    async def _start_waiters(self, current: _Waiter | None = None) -> None:
+        """Admit the waiters that are due first, as many as may be sent now.
+
+        The next one after these is woken, unless it is the current one, to wait for
+        the rate limit: no other request may end before that.
+        """
+        while self._waiters and self._try_start():
+            waiter = heapq.heappop(self._waiters)[2]
+            waiter.is_admitted = True
+            await waiter.event.set()
+        if not self._waiters or self.in_flight >= self.slots:
+            return
+        next_waiter = self._waiters[0][2]
+        if next_waiter is not current:
+            await next_waiter.event.set()
+
+    async def _withdraw(self, entry: tuple[float, int, _Waiter]) -> None:
+        """Remove a waiter that waits no longer."""
+        self._remove_waiter(entry)
+        await self._start_waiters()
+
     async def _evict_least_urgent(self, due_at_s: float) -> None:
         """Refuse the request that is due last, a waiter or the new one."""
         entry = max(self._waiters)
@@ -170,11 +244,8 @@
 
     async def _release_slot(self) -> None:
         """Pass the slot on to the waiter that is due first."""
-        if self._waiters:
-            _, _, waiter = heapq.heappop(self._waiters)
-            await waiter.event.set()
-            return
         self.in_flight -= 1
+        await self._start_waiters()
 
 
 async def _refuse(waiter: _Waiter, kind: ErrorKind, detail: str) -> None:
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -260,6 +260,12 @@
         backend_proxy = self.backend_proxies.get(server_id)
         return UNKNOWN_CONDITION if backend_proxy is None else backend_proxy.condition()
 
+    def adopt_limit(self, server_id: str, limit_millihertz: int) -> None:
+        """Apply the limit of a local backend server that another node was told."""
+        backend_proxy = self.backend_proxies.get(server_id)
+        if backend_proxy is not None:
+            backend_proxy.adopt_limit(limit_millihertz)
+
     async def run_local(
         self,
         server_id: str,
--- a/guavagap/platform/headers.py
+++ b/guavagap/platform/headers.py
@@ -1,12 +1,19 @@
 """Headers and status codes used by callers and backend servers of the platform."""
 
+import math
+
 from guavagap.dialect import Dialect
 from guavagap.errors import ErrorKind, error_spec
+from guavagap.http1 import header_value
+from guavagap.scheduling.rate_limits import NO_LIMIT
+from guavagap.server_statements import NO_STATEMENT, ServerStatement
 
 __all__ = ["PLATFORM_DIALECT"]
 
 NOT_RUN_HEADER = b"x-not-run"
 LOAD_HEADER = b"x-server-load"
+LIMIT_HEADER = b"server-limit"
+LEAVING_HEADER = b"server-leaving"
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 BAD_GATEWAY_STATUS = 502
@@ -27,6 +34,29 @@
     return None
 
 
+def _read_statement(status: int, headers) -> ServerStatement:
+    """Return what a response says about the backend server that was asked.
+
+    A misdirected response comes from another one.
+    """
+    if status == MISDIRECTED_STATUS:
+        return NO_STATEMENT
+    is_leaving = header_value(headers, LEAVING_HEADER) == b"1"
+    return ServerStatement(_read_limit(headers), is_leaving)
+
+
+def _read_limit(headers) -> float | None:
+    """Return the named requests a second, None for a value that is malformed."""
+    value = header_value(headers, LIMIT_HEADER)
+    if value is None:
+        return NO_LIMIT
+    try:
+        limit_per_s = float(value)
+    except ValueError:
+        return None
+    return limit_per_s if 0 <= limit_per_s < math.inf else None
+
+
 def _is_refusal(status: int, headers) -> bool:
     if status == MISDIRECTED_STATUS:
         return True
@@ -58,6 +88,7 @@
     expected_server=b"x-expect-instance",
     via=(),
     read_load=_read_load,
+    read_statement=_read_statement,
     is_refusal=_is_refusal,
     status_of=_status_of,
     error_headers=_error_headers,
--- a/guavagap/schemas/mesh.capnp
+++ b/guavagap/schemas/mesh.capnp
@@ -67,8 +67,16 @@
   maxWaitMs @10 :UInt32;
   targetLatencyMs @11 :UInt32;
   isBodyHeld @12 :Bool;
+  limitMillihertz @13 :UInt32;
+}
+struct Condition {
+  load @0 :UInt16;
+  failurePermille @1 :UInt16;
+  slownessPermille @2 :UInt16;
+  isKnown @3 :Bool;
+  limitMillihertz @4 :UInt32;
+  isLeaving @5 :Bool;
 }
-struct Condition { load @0 :UInt16; failurePermille @1 :UInt16; slownessPermille @2 :UInt16; isKnown @3 :Bool; }
 struct StreamData { streamId @0 :UInt64; body @1 :Data; isComplete @2 :Bool; }
 struct StreamCredit { streamId @0 :UInt64; creditBytes @1 :UInt32; }
 struct StreamReset { streamId @0 :UInt64; kind @1 :Text; detail @2 :Text; isNotRun @3 :Bool; condition @4 :Condition; }
--- a/guavagap/stream_messages.py
+++ b/guavagap/stream_messages.py
@@ -5,6 +5,7 @@
 __all__ = [
     "Condition",
     "Header",
+    "LIMIT_UNKNOWN",
     "NO_WAIT_LIMIT",
     "OpenStream",
     "StreamAnswer",
@@ -12,10 +13,13 @@
     "StreamData",
     "StreamReset",
     "UNKNOWN_CONDITION",
+    "UNLIMITED",
 ]
 
 
 NO_WAIT_LIMIT = 2**32 - 1
+LIMIT_UNKNOWN = 0
+UNLIMITED = 2**32 - 1
 
 
 # Name in lower case and value of an HTTP header, neither with a line break.
@@ -30,6 +34,8 @@
         target_latency_ms: target latency of the request; 0 for none.
         is_body_held: whether the body is sent only after the receiver grants credit,
             which it does when it has acquired a slot.
+        limit_millihertz: the request rate that the backend server has named to the
+            sender in an earlier response; LIMIT_UNKNOWN or UNLIMITED.
     """
 
     stream_id: int
@@ -45,6 +51,7 @@
     max_wait_ms: int = NO_WAIT_LIMIT
     target_latency_ms: int = 0
     is_body_held: bool = False
+    limit_millihertz: int = LIMIT_UNKNOWN
 
 
 class StreamData(NamedTuple):
@@ -71,12 +78,17 @@
         slowness_permille: duration of recent requests as a share of their target
             latency; 0 if none had a target latency.
         is_known: False when the sender does not know the backend server.
+        limit_millihertz: the request rate that it has named; LIMIT_UNKNOWN until it
+            has responded, UNLIMITED if it names none.
+        is_leaving: whether it has said that it takes no new requests any more.
     """
 
     load: int
     failure_permille: int
     slowness_permille: int
     is_known: bool = True
+    limit_millihertz: int = LIMIT_UNKNOWN
+    is_leaving: bool = False
 
 
 UNKNOWN_CONDITION = Condition(0, 0, 0, False)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,42 @@
+"""Tests of what the headers of backend servers mean."""
+
+import testtools
+
+from guavagap.platform.headers import PLATFORM_DIALECT
+from guavagap.scheduling.rate_limits import NO_LIMIT
+from guavagap.server_statements import (
+    NO_STATEMENT,
+    ServerStatement,
+    from_millihertz,
+    to_millihertz,
+)
+
+
+def read(status: int = 200, **headers: bytes) -> ServerStatement:
+    pairs = [(name.replace("_", "-").encode(), headers[name]) for name in headers]
+    return PLATFORM_DIALECT.read_statement(status, pairs)
+
+
+class StatementTests(testtools.TestCase):
+    def test_limit_is_a_decimal_number(self):
+        self.assertEqual(11.7, read(server_limit=b"11.7").limit_per_s)
+        self.assertEqual(0.0, read(server_limit=b" 0 ").limit_per_s)
+
+    def test_response_without_a_limit_ends_it(self):
+        self.assertEqual(NO_LIMIT, read().limit_per_s)
+
+    def test_malformed_limit_tells_nothing(self):
+        for value in (b"", b"many", b"-1", b"nan", b"inf", b"1e999", b"\xff", b"1,2"):
+            self.assertIsNone(read(server_limit=value).limit_per_s)
+
+    def test_refusal_names_the_limit_too(self):
+        self.assertEqual(3.0, read(503, server_limit=b"3").limit_per_s)
+
+    def test_response_of_another_server_tells_nothing(self):
+        self.assertEqual(NO_STATEMENT, read(421, server_limit=b"3"))
+
+    def test_limit_on_a_link(self):
+        for limit_per_s in (None, NO_LIMIT, 0.001, 11.7):
+            self.assertEqual(limit_per_s, from_millihertz(to_millihertz(limit_per_s)))
+        self.assertEqual(0.001, from_millihertz(to_millihertz(0.0)))
+        self.assertLess(from_millihertz(to_millihertz(1e30)), NO_LIMIT)
