--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -4,7 +4,8 @@
 and counts runs by request ID; ``GET /_ledger`` returns the counts. ``PUT /_knobs``
 with a JSON object injects faults: ``delay_s`` is the duration of a run, ``refuse``
 rejects requests as not run, ``state`` is the state in the heartbeats and
-``is_silent`` stops them. These knobs are probabilities of a fault: ``fail_share``
+``is_silent`` stops them; ``limit`` and ``leaving`` are the values of the headers that
+name a limit and say that it leaves, none if empty. These knobs are probabilities of a fault: ``fail_share``
 responds with 500, ``cut_share`` truncates the response, ``extra_share`` sends a
 second, unsolicited response later and ``lose_share`` closes the connection without a
 response. A request with the header ``x-crash`` ends the process.
@@ -63,6 +64,8 @@
             "response_bytes": RESPONSE_BYTES,
             "state": "ready",
             "is_silent": False,
+            "limit": "",
+            "leaving": "",
         }
         self._slot_semaphore = curio.Semaphore(slots)
 
@@ -93,6 +96,10 @@
             (b"x-request-id", request_id),
             (b"x-server-load", self._load_header()),
         ]
+        for name in ("limit", "leaving"):
+            if self.knobs[name]:
+                header = (b"server-" + name.encode(), self.knobs[name].encode())
+                response_headers.append(header)
         expected = header_value(head.headers, b"x-expect-instance")
         if expected is not None and expected != self.server_id.encode():
             response_headers.append((b"x-instance-id", self.server_id.encode()))
--- /dev/null
+++ b/tests/test_server_statements.py
@@ -0,0 +1,41 @@
+"""Tests of what backend servers say about themselves, on real processes."""
+
+from standins.fleet import wait_until
+from tests.operator_cases import OperatorTestCase
+
+# The nodes a1 and a2 have a backend server of the service; a3 only sends requests.
+LAYOUT = {"a1": "za", "a2": "za", "a3": "za"}
+OTHER_SERVICES = {"a3": "other"}
+
+
+class LeavingTests(OperatorTestCase):
+    def send(self, fleet, node_id: str, prefix: str, count: int = 10) -> int:
+        """Send requests to a node; return how many of them ran on i-a1."""
+        ids = [f"{prefix}-{number}" for number in range(count)]
+        for request_id in ids:
+            status = fleet.request(node_id, "/shop/x", request_id).status
+            self.assertEqual(200, status)
+        runs = fleet.ledger("i-a1")["runs"]
+        return sum(runs.get(request_id, 0) for request_id in ids)
+
+    def start_with_leaving_server(self):
+        """Return a mesh in which a3 has just passed on that i-a1 leaves."""
+        fleet = self.start(LAYOUT, OTHER_SERVICES)
+        wait_until(lambda: self.send(fleet, "a3", "warm"), what="a3 uses i-a1")
+        fleet.configure_upstream("i-a1", leaving="1")
+        wait_until(lambda: self.send(fleet, "a3", "told"), what="a3 is told")
+        return fleet
+
+    def test_server_that_says_that_it_leaves_gets_nothing_new(self):
+        fleet = self.start_with_leaving_server()
+        for node_id in ("a1", "a2", "a3"):
+            wait_until(lambda: not self.send(fleet, node_id, f"stop-{node_id}", 3))
+            self.assertEqual(0, self.send(fleet, node_id, f"after-{node_id}", 30))
+
+    def test_node_that_was_told_does_not_follow_a_restarted_owner_node(self):
+        fleet = self.start_with_leaving_server()
+        fleet.kill(fleet.nodes["a1"].process)
+        fleet.start_operator_node("a1", "za", "shop")
+        fleet.wait_ready()
+        fleet.wait_backend_servers("shop", 2)
+        self.assertEqual(0, self.send(fleet, "a3", "after", 30))
