--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -222,15 +222,21 @@
 
     def _choose_target(self, exchange: Exchange, history: _AttemptHistory) -> Target:
         share = exchange.share
-        target = self._node.router.choose_target(
-            share,
-            exchange.version,
-            history.failed_ids,
-            history.busy_ids,
-            self.outcomes.mean_response_bytes(exchange.route),
-        )
-        if target is not None:
-            return target
+        response_bytes = self.outcomes.mean_response_bytes(exchange.route)
+        while True:
+            target = self._node.router.choose_target(
+                share,
+                exchange.version,
+                history.failed_ids,
+                history.busy_ids,
+                response_bytes,
+            )
+            if target is None:
+                break
+            if not target.health.memory.is_leaving(steady_s()):
+                return target
+            # Its owner node has not drained it yet, or has forgotten that it leaves.
+            history.failed_ids.add(target.server.server_id)
         if history.unknown_outcome is not None:
             raise history.unknown_outcome
         raise GuavagapError(
--- a/guavagap/backend_proxy.py
+++ b/guavagap/backend_proxy.py
@@ -149,14 +149,17 @@
             check_response: see :func:`guavagap.exchange.relay_exchange`.
 
         Raises:
-            GuavagapError: BACKEND_SERVER_CRASHED when the response was lost and the
+            GuavagapError: DRAINING when the backend server has said that it leaves;
+                BACKEND_SERVER_CRASHED when the response was lost and the
                 backend server no longer accepts connections; see also
                 :meth:`guavagap.limits.Admission.admit` and
                 :func:`guavagap.exchange.relay_exchange`.
         """
+        self._check_not_leaving()
         async with self.admission.admit(
             request.priority, request.max_wait_s, request.target_latency_s
         ):
+            self._check_not_leaving()
             if steady_s() >= request.deadline_s:
                 raise GuavagapError(
                     ErrorKind.DEADLINE_BEFORE_RUN,
@@ -179,6 +182,12 @@
                 request, downstream, upstream, check_response
             )
 
+    def _check_not_leaving(self) -> None:
+        if self.is_leaving:
+            raise GuavagapError(
+                ErrorKind.DRAINING, "the backend server has said that it leaves"
+            )
+
     async def _run_exchange(
         self,
         request: ForwardedRequest,
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -303,6 +303,7 @@
 
     async def apply_announcements(self) -> None:
         """Update backend proxies and the local member row from the announcements."""
+        self._drain_leaving_servers()
         servers = self.announcements.servers()
         for server in servers:
             backend_proxy = self.backend_proxies.get(server.server_id)
@@ -327,6 +328,15 @@
             self.table.publish_backend_servers(servers)
             await self.membership.gossip_now(MEMBER_GOSSIP_FAN_OUT)
 
+    def _drain_leaving_servers(self) -> None:
+        """Drain the backend servers whose responses say that they leave."""
+        for server_id, backend_proxy in self.backend_proxies.items():
+            server = self.announcements.get(server_id)
+            if server is None or server.is_draining or not backend_proxy.is_leaving:
+                continue
+            log.info("backend server has said that it leaves", server=server_id)
+            self.announcements.drain(server_id)
+
     async def _revoke_permits(
         self, server_id: str, backend_proxy: BackendProxy
     ) -> None:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -5,10 +5,11 @@
 with a JSON object injects faults: ``delay_s`` is the duration of a run, ``refuse``
 rejects requests as not run, ``state`` is the state in the heartbeats and
 ``is_silent`` stops them; ``limit`` and ``leaving`` are the values of the headers that
-name a limit and say that it leaves, none if empty. These knobs are probabilities of a fault: ``fail_share``
-responds with 500, ``cut_share`` truncates the response, ``extra_share`` sends a
-second, unsolicited response later and ``lose_share`` closes the connection without a
-response. A request with the header ``x-crash`` ends the process.
+name a limit and say that it leaves, none if empty. These knobs are probabilities of a
+fault: ``fail_share`` responds with 500, ``cut_share`` truncates the response,
+``extra_share`` sends a second, unsolicited response later and ``lose_share`` closes
+the connection without a response. A request with the header ``x-crash`` ends the
+process.
 """
 
 import json
