--- a/guavagap/announcements.py
+++ b/guavagap/announcements.py
@@ -140,6 +140,7 @@
             report.slots,
             report.slots,
             is_draining,
+            report.born_ms,
         )
         retention_s = DRAINED_RETENTION_S if is_draining else ttl_s
         self._expires_at_s[report.server_id] = self._clock() + retention_s
--- a/guavagap/backend_proxy.py
+++ b/guavagap/backend_proxy.py
@@ -80,6 +80,19 @@
         )
         self.connections = BackendConnectionPool(parse_address(server.address))
 
+    def is_for(self, server: BackendServer) -> bool:
+        """Return whether this proxy can serve a backend server as announced.
+
+        Draining is final for a proxy, so a backend server that has started again
+        needs a new one.
+        """
+        is_draining = self.admission.is_draining or self.is_leaving
+        if is_draining and not server.is_draining:
+            return False
+        return self.server._replace(is_draining=False) == server._replace(
+            is_draining=False
+        )
+
     def condition(self) -> Condition:
         """Return load, failure rate and slowness, for the nodes that send requests."""
         return Condition(
--- a/guavagap/directory.py
+++ b/guavagap/directory.py
@@ -59,7 +59,7 @@
         "memory",
     )
 
-    def __init__(self, now_s: float, is_warm: bool, memory: ServerMemory | None = None):
+    def __init__(self, now_s: float, is_warm: bool):
         self.in_flight = 0
         self.reported_in_flight = 0
         self.reported_at_s = 0.0
@@ -69,7 +69,7 @@
         self.first_seen_s = now_s
         self.is_warm = is_warm
         self.slowness = 0.0
-        self.memory = memory or ServerMemory()
+        self.memory = ServerMemory()
 
     def update_condition(self, condition: Condition, now_s: float) -> None:
         """Apply the condition reported by the owner node of the backend server."""
@@ -161,7 +161,7 @@
         self._version_counts: dict[tuple[str, str], dict[str, int]] = {}
         self._health: dict[str, ServerHealth] = {}
         # Also of backend servers that are absent while their owner node restarts.
-        self._memories: dict[str, ServerMemory] = {}
+        self._memories: dict[tuple[str, int], ServerMemory] = {}
         # The targets that were made of each row.
         self._row_targets: dict[str, tuple] = {}
         self._is_first_build = True
@@ -224,7 +224,7 @@
             }
         if len(self._memories) > len(by_id) + MAX_MEMORIES_OF_ABSENT:
             self._memories = {
-                key: value for key, value in self._memories.items() if key in by_id
+                key: value for key, value in self._memories.items() if key[0] in by_id
             }
         self._is_first_build = False
 
@@ -239,12 +239,20 @@
             if not server.is_draining
         ]
 
+    def _memory_of_start(self, server: BackendServer) -> ServerMemory:
+        """Return what this start of a backend server has said about itself."""
+        start = (server.server_id, server.born_ms)
+        memory = self._memories.get(start)
+        if memory is None:
+            memory = self._memories[start] = ServerMemory()
+        return memory
+
     def _make_target(self, row, server: BackendServer, now_s: float) -> Target:
         health = self._health.get(server.server_id)
         if health is None:
-            memory = self._memories.setdefault(server.server_id, ServerMemory())
-            health = ServerHealth(now_s, self._is_first_build, memory)
+            health = ServerHealth(now_s, is_warm=self._is_first_build)
             self._health[server.server_id] = health
+        health.memory = self._memory_of_start(server)
         is_suspect = row.state == MemberState.SUSPECT
         return Target(
             server, row.node_id, row.region, row.failure_domain, is_suspect, health
--- a/guavagap/messages.py
+++ b/guavagap/messages.py
@@ -41,7 +41,12 @@
 
 
 class BackendServer(NamedTuple):
-    """A backend server as its node advertises it."""
+    """A backend server as its node advertises it.
+
+    Attributes:
+        born_ms: Unix milliseconds of its start, 0 if it does not tell; a backend
+            server may start again under its identifier.
+    """
 
     server_id: str
     service: str
@@ -51,6 +56,7 @@
     slots: int
     connections: int
     is_draining: bool = False
+    born_ms: int = 0
 
 
 class MemberState(IntEnum):
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -307,11 +307,9 @@
         servers = self.announcements.servers()
         for server in servers:
             backend_proxy = self.backend_proxies.get(server.server_id)
-            is_unchanged = backend_proxy is not None and (
-                backend_proxy.server._replace(is_draining=False)
-                == server._replace(is_draining=False)
-            )
-            if not is_unchanged:
+            if backend_proxy is None or not backend_proxy.is_for(server):
+                if backend_proxy is not None:
+                    await backend_proxy.connections.close_idle()
                 backend_proxy = BackendProxy(
                     server, self.settings.permit_ttl_s, self.dialect
                 )
@@ -332,7 +330,9 @@
         """Drain the backend servers whose responses say that they leave."""
         for server_id, backend_proxy in self.backend_proxies.items():
             server = self.announcements.get(server_id)
-            if server is None or server.is_draining or not backend_proxy.is_leaving:
+            if not backend_proxy.is_leaving or server is None or server.is_draining:
+                continue
+            if server.born_ms != backend_proxy.server.born_ms:
                 continue
             log.info("backend server has said that it leaves", server=server_id)
             self.announcements.drain(server_id)
--- a/guavagap/schemas/mesh.capnp
+++ b/guavagap/schemas/mesh.capnp
@@ -14,6 +14,7 @@
   slots @5 :UInt16;
   connections @6 :UInt16;
   isDraining @7 :Bool;
+  bornMs @8 :UInt64;
 }
 
 struct Member {
--- a/tests/test_server_statements.py
+++ b/tests/test_server_statements.py
@@ -39,3 +39,25 @@
         fleet.wait_ready()
         fleet.wait_backend_servers("shop", 2)
         self.assertEqual(0, self.send(fleet, "a3", "after", 30))
+
+    def test_server_that_starts_again_after_draining_is_used(self):
+        self.assert_used_after_restart(state="draining")
+
+    def test_server_that_starts_again_after_saying_that_it_leaves_is_used(self):
+        self.assert_used_after_restart(leaving="1")
+
+    def assert_used_after_restart(self, **knobs: str):
+        """Start a backend server again under its identifier and at its address."""
+        fleet = self.start({"a1": "za"})
+        fleet.configure_upstream("i-a1", **knobs)
+        wait_until(
+            lambda: fleet.request("a1", "/shop/x", "q").status == 503,
+            what="i-a1 drains",
+        )
+        server = fleet.servers["i-a1"]
+        fleet.kill(server.process)
+        fleet.start_upstream("i-a1", "a1", "shop", port=server.port)
+        wait_until(
+            lambda: fleet.request("a1", "/shop/x", "q").status == 200,
+            what="i-a1 is used again",
+        )
