--- a/guavagap/directory.py
+++ b/guavagap/directory.py
@@ -230,6 +230,9 @@
 
     def _make_targets(self, row, now_s: float) -> list[tuple[tuple, Target]]:
         """Return the targets of a row with their services, pools and versions."""
+        for server in row.backend_servers:
+            if server.is_draining and server.born_ms:
+                self._memory_of_start(server).record_leaving(now_s)
         return [
             (
                 (server.service, server.pool, server.version),
--- a/guavagap/server_statements.py
+++ b/guavagap/server_statements.py
@@ -68,8 +68,12 @@
         if condition.limit_millihertz != LIMIT_UNKNOWN:
             self.limit_millihertz = condition.limit_millihertz
         if condition.is_leaving:
-            self._leaving_seen_at_s = now_s
+            self.record_leaving(now_s)
+
+    def record_leaving(self, now_s: float) -> None:
+        """Record that the backend server leaves, which is final for its start."""
+        self._leaving_seen_at_s = now_s
 
     def is_leaving(self, now_s: float) -> bool:
-        """Return whether the backend server has said that it leaves."""
+        """Return whether the backend server leaves, as far as this node was told."""
         return now_s - self._leaving_seen_at_s < LEAVING_RETENTION_S
