--- a/guavagap/rollouts.py
+++ b/guavagap/rollouts.py
@@ -19,6 +19,13 @@
     sum_counts,
 )
 from guavagap.head import Rollout
+from guavagap.rollout_health import is_proven_healthy
+from guavagap.rollout_statistics import (
+    SINGLE_DOMAIN_EXTRA_BUCKETS,
+    SLOW_SHARE,
+    baseline_share,
+    bucket_above_slow_quantile,
+)
 
 __all__ = [
     "Decision",
@@ -29,7 +36,6 @@
     "THRESHOLD_POLICY",
     "decide_next_step",
     "find_fault",
-    "is_proven_healthy",
 ]
 
 FULL_WEIGHT_PERMILLE = 1000
@@ -37,10 +43,6 @@
 # Alternative hypotheses of the test, with equal weights: the share of requests that a
 # faulty version fails or delays although a healthy version would not.
 EXCESS_SHARES = (0.05, 0.2, 0.5, 0.9)
-# Share of the requests of a healthy version that may be slow.
-SLOW_SHARE = 0.1
-MIN_BASELINE_SHARE = 0.002
-MIN_WINDOW_REQUESTS = 5
 # With fewer requests the slowest tenth has fewer than three requests, which is too few
 # to estimate the speed of a server.
 MIN_SERVER_REQUESTS = 30
@@ -48,18 +50,7 @@
 # times slower. Without this one, healthy versions are rolled back if they run on the
 # slowest of servers whose speeds differ by a factor of three (FindFaultTests).
 MAX_SLOWEST_SERVER_EXTRA_BUCKETS = 1
-# Five steps of a quarter are a factor of three, by which the speeds of healthy servers
-# of one service differ. All fast servers of a failure domain may run one version.
-SINGLE_DOMAIN_EXTRA_BUCKETS = 5
 REMAINING_SERVERS_FALSE_ALARM_PROBABILITY = 0.05
-# A version counts as healthy once the evidence is this much less likely for a version
-# that fails or delays this share of its requests.
-UNHEALTHY_EXCESS_SHARE = 0.3
-MAX_UNHEALTHY_LIKELIHOOD = 0.05
-# Requests that end at their deadline are counted seconds after they were sent.
-MIN_OBSERVED_TICKS = 7
-# With less traffic, few requests reach a faulty version before it is found.
-MIN_OBSERVED_REQUESTS_PER_TICK = 3
 
 
 class Policy(NamedTuple):
@@ -129,30 +120,23 @@
     reason: str
 
 
-def _log_likelihood_ratio(count: int, total: int, baseline_share: float) -> float:
+def _log_likelihood_ratio(count: int, total: int, baseline: float) -> float:
     """Return the log of the likelihood ratio of a faulty and a healthy version.
 
     The ratio is the mean of the ratios over ``EXCESS_SHARES``.
     """
     ratios = []
     for excess in EXCESS_SHARES:
-        share = baseline_share + (1.0 - baseline_share) * excess
+        share = baseline + (1.0 - baseline) * excess
         ratios.append(
-            count * math.log(share / baseline_share)
-            + (total - count) * math.log((1.0 - share) / (1.0 - baseline_share))
+            count * math.log(share / baseline)
+            + (total - count) * math.log((1.0 - share) / (1.0 - baseline))
         )
     largest = max(ratios)
     mean = sum(math.exp(ratio - largest) for ratio in ratios) / len(ratios)
     return largest + math.log(mean)
 
 
-def _upper_confidence_bound(count: int, total: int) -> float:
-    """Return a share plus one standard error, smoothed for few observations."""
-    share = (count + 1) / (total + 2)
-    share += math.sqrt(share * (1 - share) / (total + 2))
-    return min(0.95, max(MIN_BASELINE_SHARE, share))
-
-
 def _sum_without_worst_server(
     by_server: dict[str, OutcomeCounts], count_events
 ) -> OutcomeCounts | None:
@@ -180,12 +164,12 @@
     run on slow ones. The allowance is limited, since that server may be faulty. For
     evidence of a single failure domain it is ``SINGLE_DOMAIN_EXTRA_BUCKETS``.
     """
-    baseline_bucket = _bucket_above_slow_quantile(evidence.history)
+    baseline_bucket = bucket_above_slow_quantile(evidence.history)
     if is_single_domain:
         return baseline_bucket + SINGLE_DOMAIN_EXTRA_BUCKETS
     slowest_bucket = max(
         (
-            _bucket_above_slow_quantile(counts)
+            bucket_above_slow_quantile(counts)
             for counts in evidence.history_by_server.values()
             if counts.requests >= MIN_SERVER_REQUESTS
         ),
@@ -197,31 +181,6 @@
     )
 
 
-def _bucket_above_slow_quantile(counts: OutcomeCounts) -> int:
-    """Return the first bucket that at most ``SLOW_SHARE`` of the requests reach."""
-    max_slow_requests = counts.requests * SLOW_SHARE
-    requests_above = counts.requests
-    for bucket, count in enumerate(counts.latency_buckets):
-        requests_above -= count
-        if requests_above <= max_slow_requests:
-            return bucket + 1
-    return len(counts.latency_buckets)
-
-
-def _baseline_share(evidence: RouteEvidence, count_events) -> float:
-    """Return the share of events to expect of a healthy version.
-
-    The history of the old version makes up for windows with few requests. If the old
-    version does worse in the window than in its history, the window counts in full,
-    so that a failure that affects both versions is not attributed to the new one.
-    """
-    old, history = evidence.old, evidence.history
-    share = _upper_confidence_bound(count_events(history), history.requests)
-    if old.requests >= MIN_WINDOW_REQUESTS:
-        share = max(share, min(0.95, count_events(old) / old.requests))
-    return share
-
-
 def _has_excess(
     policy: Policy,
     evidence: RouteEvidence,
@@ -246,10 +205,10 @@
         return False
     if policy.threshold_ratio:
         return _is_over_threshold(policy, evidence.old, new, count_events)
-    baseline_share = max(baseline_floor, _baseline_share(evidence, count_events))
+    expected_share = max(baseline_floor, baseline_share(evidence, count_events))
     log_threshold = -math.log(policy.false_alarm_probability)
     if (
-        _log_likelihood_ratio(count_events(new), new.requests, baseline_share)
+        _log_likelihood_ratio(count_events(new), new.requests, expected_share)
         < log_threshold
     ):
         return False
@@ -259,7 +218,7 @@
     remaining_log_threshold = -math.log(REMAINING_SERVERS_FALSE_ALARM_PROBABILITY)
     return (
         _log_likelihood_ratio(
-            count_events(remaining), remaining.requests, baseline_share
+            count_events(remaining), remaining.requests, expected_share
         )
         >= remaining_log_threshold
     )
@@ -338,63 +297,6 @@
     return started_s + max(MIN_STAGE_S, remaining_s * shares[0] / sum(shares))
 
 
-def _log_unhealthy_ratio(count: int, total: int, baseline_share: float) -> float:
-    """Return the log of the likelihood ratio of an unhealthy and a healthy version."""
-    share = baseline_share + (1.0 - baseline_share) * UNHEALTHY_EXCESS_SHARE
-    return count * math.log(share / baseline_share) + (total - count) * math.log(
-        (1.0 - share) / (1.0 - baseline_share)
-    )
-
-
-def _log_ratios_of_route(evidence: RouteEvidence) -> tuple[float, float]:
-    """Return how likely it is that a version fails, and delays, requests of a route.
-
-    Each is the log of a likelihood ratio. A request is slow if it takes several times
-    as long as those of the old version, which a cold start does not explain.
-    """
-    new = sum_counts(evidence.new_by_server.values())
-    bucket = _bucket_above_slow_quantile(evidence.history) + SINGLE_DOMAIN_EXTRA_BUCKETS
-
-    def count_slow(counts: OutcomeCounts) -> int:
-        return sum(counts.latency_buckets[bucket:])
-
-    def count_failed(counts: OutcomeCounts) -> int:
-        return counts.failures
-
-    failed_ratio = _log_unhealthy_ratio(
-        new.failures, new.requests, _baseline_share(evidence, count_failed)
-    )
-    slow_share = max(SLOW_SHARE, _baseline_share(evidence, count_slow))
-    slow_ratio = _log_unhealthy_ratio(count_slow(new), new.requests, slow_share)
-    return failed_ratio, slow_ratio
-
-
-def is_proven_healthy(observation: Observation) -> bool:
-    """Return whether the evidence shows that the new version is healthy.
-
-    This takes more than evidence that shows no fault: an evaluator that has just
-    started has none, and while the old version fails as well, none tells them apart.
-    """
-    ticks = observation.ticks
-    if ticks < MIN_OBSERVED_TICKS:
-        return False
-    if observation.requests < MIN_OBSERVED_REQUESTS_PER_TICK * ticks:
-        return True
-    return any(_excludes_unhealthy(window) for window in observation.windows)
-
-
-def _excludes_unhealthy(window: list[RouteEvidence]) -> bool:
-    """Return whether all routes together exclude that the version is unhealthy.
-
-    No single route may make it likely.
-    """
-    ratios = [_log_ratios_of_route(evidence) for evidence in window]
-    if not ratios or max(map(max, ratios)) > 0:
-        return False
-    totals = [sum(route_ratios) for route_ratios in zip(*ratios)]
-    return max(totals) <= math.log(MAX_UNHEALTHY_LIKELIHOOD)
-
-
 def decide_next_step(
     policy: Policy,
     rollout: Rollout,
