--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -233,7 +233,7 @@
             )
             if target is None:
                 break
-            if not target.health.memory.is_leaving(steady_s()):
+            if not target.health.statements.is_leaving(steady_s()):
                 return target
             # Its owner node has not drained it yet, or has forgotten that it leaves.
             history.failed_ids.add(target.server.server_id)
--- a/guavagap/directory.py
+++ b/guavagap/directory.py
@@ -9,7 +9,7 @@
 from guavagap.clock import steady_s
 from guavagap.members import MemberTable
 from guavagap.messages import BackendServer, MemberState
-from guavagap.server_statements import ServerMemory
+from guavagap.server_statements import StatementRecord
 from guavagap.stream_messages import Condition
 
 __all__ = ["Directory", "ServerHealth", "Target"]
@@ -28,7 +28,7 @@
 EJECT_FAILURE_PERMILLE = 200
 REPORTED_EJECTION_S = 2.0
 SLOWNESS_TTL_S = 3.0
-MAX_MEMORIES_OF_ABSENT = 1000
+MAX_RECORDS_OF_ABSENT = 1000
 
 
 class ServerHealth:
@@ -43,7 +43,7 @@
         ejections: ejections since the latest success; each doubles the duration.
         is_warm: whether slow start is over.
         slowness: mean run time reported for it, as a share of the target latency.
-        memory: what it has said about itself.
+        statements: what it has said about itself.
     """
 
     __slots__ = (
@@ -56,7 +56,7 @@
         "first_seen_s",
         "is_warm",
         "slowness",
-        "memory",
+        "statements",
     )
 
     def __init__(self, now_s: float, is_warm: bool):
@@ -69,13 +69,13 @@
         self.first_seen_s = now_s
         self.is_warm = is_warm
         self.slowness = 0.0
-        self.memory = ServerMemory()
+        self.statements = StatementRecord()
 
     def update_condition(self, condition: Condition, now_s: float) -> None:
         """Apply the condition reported by the owner node of the backend server."""
         if not condition.is_known:
             return
-        self.memory.record(condition, now_s)
+        self.statements.record(condition, now_s)
         self.update_load(condition.load, now_s)
         self.slowness = condition.slowness_permille / 1000
         if condition.failure_permille > EJECT_FAILURE_PERMILLE:
@@ -161,7 +161,7 @@
         self._version_counts: dict[tuple[str, str], dict[str, int]] = {}
         self._health: dict[str, ServerHealth] = {}
         # Also of backend servers that are absent while their owner node restarts.
-        self._memories: dict[tuple[str, int], ServerMemory] = {}
+        self._statement_records: dict[tuple[str, int], StatementRecord] = {}
         # The targets that were made of each row.
         self._row_targets: dict[str, tuple] = {}
         self._is_first_build = True
@@ -222,9 +222,11 @@
             self._health = {
                 key: value for key, value in self._health.items() if key in by_id
             }
-        if len(self._memories) > len(by_id) + MAX_MEMORIES_OF_ABSENT:
-            self._memories = {
-                key: value for key, value in self._memories.items() if key[0] in by_id
+        if len(self._statement_records) > len(by_id) + MAX_RECORDS_OF_ABSENT:
+            self._statement_records = {
+                key: value
+                for key, value in self._statement_records.items()
+                if key[0] in by_id
             }
         self._is_first_build = False
 
@@ -232,7 +234,7 @@
         """Return the targets of a row with their services, pools and versions."""
         for server in row.backend_servers:
             if server.is_draining and server.born_ms:
-                self._memory_of_start(server).record_leaving(now_s)
+                self._record_of_start(server).record_leaving(now_s)
         return [
             (
                 (server.service, server.pool, server.version),
@@ -242,12 +244,12 @@
             if not server.is_draining
         ]
 
-    def _memory_of_start(self, server: BackendServer) -> ServerMemory:
+    def _record_of_start(self, server: BackendServer) -> StatementRecord:
         """Return what this start of a backend server has said about itself."""
         start = (server.server_id, server.born_ms)
-        memory = self._memories.get(start)
+        memory = self._statement_records.get(start)
         if memory is None:
-            memory = self._memories[start] = ServerMemory()
+            memory = self._statement_records[start] = StatementRecord()
         return memory
 
     def _make_target(self, row, server: BackendServer, now_s: float) -> Target:
@@ -255,7 +257,7 @@
         if health is None:
             health = ServerHealth(now_s, is_warm=self._is_first_build)
             self._health[server.server_id] = health
-        health.memory = self._memory_of_start(server)
+        health.statements = self._record_of_start(server)
         is_suspect = row.state == MemberState.SUSPECT
         return Target(
             server, row.node_id, row.region, row.failure_domain, is_suspect, health
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -91,7 +91,7 @@
             NO_WAIT_LIMIT if request.max_wait_s is None else _to_ms(request.max_wait_s),
             _to_ms(request.target_latency_s),
             is_body_held,
-            self._health.memory.limit_millihertz,
+            self._health.statements.limit_millihertz,
         )
         if is_body_held:
             await self._send_after_credit(message, body, is_complete)
--- a/guavagap/rollout_health.py
+++ b/guavagap/rollout_health.py
@@ -26,7 +26,7 @@
 # With less traffic, few requests reach a faulty version before it is found. An
 # evaluator that has just taken over sees little for a moment, whatever the traffic.
 MIN_OBSERVED_REQUESTS_PER_TICK = 3
-MIN_CALM_TICKS = 20
+MIN_LOW_TRAFFIC_TICKS = 20
 
 
 def _log_unhealthy_ratio(count: int, total: int, baseline: float) -> float:
@@ -69,8 +69,8 @@
     ticks = observation.ticks
     if ticks < MIN_OBSERVED_TICKS:
         return False
-    is_calm = observation.requests < MIN_OBSERVED_REQUESTS_PER_TICK * ticks
-    if is_calm and ticks >= MIN_CALM_TICKS:
+    has_low_traffic = observation.requests < MIN_OBSERVED_REQUESTS_PER_TICK * ticks
+    if has_low_traffic and ticks >= MIN_LOW_TRAFFIC_TICKS:
         return True
     return any(_excludes_unhealthy(window) for window in observation.windows)
 
--- a/guavagap/server_statements.py
+++ b/guavagap/server_statements.py
@@ -7,7 +7,7 @@
 
 __all__ = [
     "NO_STATEMENT",
-    "ServerMemory",
+    "StatementRecord",
     "ServerStatement",
     "from_millihertz",
     "to_millihertz",
@@ -50,7 +50,7 @@
     return NO_LIMIT if millihertz == UNLIMITED else millihertz / 1000
 
 
-class ServerMemory:
+class StatementRecord:
     """What a node was told about a backend server, also if its owner node forgets it.
 
     Attributes:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -25,7 +25,7 @@
             table.merge(row)
             directory.rebuild(steady_s())
         (target,) = directory.all_targets()
-        return target.health.memory.is_leaving(steady_s())
+        return target.health.statements.is_leaving(steady_s())
 
     def test_owner_that_forgets_a_drain_is_not_followed(self):
         draining = make_row("owner", 1, SERVER._replace(is_draining=True))
