--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -147,6 +147,7 @@
         self.is_synchronised = False
         self._next_sync_s = 0.0
         self._remote_match_at_s = steady_s()
+        self._has_left = False
         self._is_gossip_requested = False
         self._is_syncing = False
 
@@ -322,8 +323,9 @@
         for server_id in list(self.backend_proxies):
             if server_id not in known:
                 await self.backend_proxies.pop(server_id).connections.close_idle()
-        if servers != self.table.local.backend_servers:
-            self.table.publish_backend_servers(servers)
+        announced = () if self._has_left else servers
+        if announced != self.table.local.backend_servers:
+            self.table.publish_backend_servers(announced)
             await self.membership.gossip_now(MEMBER_GOSSIP_FAN_OUT)
 
     def _drain_leaving_servers(self) -> None:
@@ -366,7 +368,12 @@
         return self.deployment.make_retry_budget(share, len(self.table.alive()))
 
     async def leave(self) -> None:
-        """Notify peers that this node and its backend servers leave the mesh."""
+        """Notify peers that this node leaves the mesh.
+
+        Its backend servers are no longer announced, rather than announced as draining:
+        they may stay, and be announced again by the next process of this node.
+        """
+        self._has_left = True
         self.announcements.drain_all()
         await self.apply_announcements()
         self.table.publish(state=int(MemberState.LEFT))
--- a/tests/test_server_statements.py
+++ b/tests/test_server_statements.py
@@ -1,5 +1,7 @@
 """Tests of what backend servers say about themselves, on real processes."""
 
+import threading
+
 from standins.fleet import wait_until
 from tests.operator_cases import OperatorTestCase
 
@@ -40,6 +42,17 @@
         fleet.wait_backend_servers("shop", 2)
         self.assertEqual(0, self.send(fleet, "a3", "after", 30))
 
+    def test_server_whose_node_was_stopped_and_started_is_used(self):
+        fleet = self.start(LAYOUT, OTHER_SERVICES)
+        wait_until(lambda: self.send(fleet, "a3", "warm"), what="a3 uses i-a1")
+        stopping = threading.Thread(target=fleet.stop, args=[fleet.nodes["a1"].process])
+        stopping.start()
+        while stopping.is_alive():
+            self.send(fleet, "a3", "meanwhile")
+        fleet.start_operator_node("a1", "za", "shop")
+        fleet.wait_ready()
+        wait_until(lambda: self.send(fleet, "a3", "again"), what="a3 uses i-a1 again")
+
     def test_server_that_starts_again_after_draining_is_used(self):
         self.assert_used_after_restart(state="draining")
 
