--- a/tests/test_operator_kinds.py
+++ b/tests/test_operator_kinds.py
@@ -34,7 +34,8 @@
                 response = fleet.request("a1", "/file/x", f"d{number}")
             except (IncompleteRead, RemoteDisconnected):
                 continue
-            self.assertTrue(response.status in FAILED_STATUSES, response.status)
+            shape = (number, response.status, len(response.body), response.headers)
+            self.assertTrue(response.status in FAILED_STATUSES, shape)
 
     def test_failed_download_is_tried_again(self):
         fleet = self.start_with_downloads()
