--- a/guavagap/evaluator.py
+++ b/guavagap/evaluator.py
@@ -15,7 +15,7 @@
 
 from guavagap.addresses import parse_address
 from guavagap.errors import GuavagapError
-from guavagap.evidence import EvidenceTable, EvidenceWindows
+from guavagap.evidence import EvidenceTable, EvidenceWindows, describe_route
 from guavagap.head import Rollout
 from guavagap.logs import get_logger
 from guavagap.messages import DatagramKind, EvidenceReport, EvidenceRow, Notice
@@ -221,6 +221,7 @@
             if decision.finding is not None:
                 await self._publish_notice(service, rollout, decision.reason)
             if self._has_effect(service, rollout, decision):
+                self._log_evidence(service, decision)
                 await self._repository.write(service, rollout, decision)
 
     def _reset_changed_stages(self, active_rollouts: dict[str, Rollout]) -> None:
@@ -232,6 +233,18 @@
                 self._service_windows[service].reset_stage()
                 self._domain_windows[service].reset_stage()
 
+    def _log_evidence(self, service: str, decision: Decision) -> None:
+        """Log what a decision rests on: failed and all requests of each route."""
+        observation = self._service_windows[service].observation()
+        for window in observation.windows:
+            log.info(
+                "rollout evidence",
+                service=service,
+                weight_permille=decision.weight_permille,
+                observed_ticks=observation.ticks,
+                routes=";".join(map(describe_route, window)),
+            )
+
     def _decide(self, service: str, rollout: Rollout) -> Decision:
         notices = self._node.notices.of_service(service)
         for notice in notices:
--- a/guavagap/evidence.py
+++ b/guavagap/evidence.py
@@ -19,6 +19,7 @@
     "OutcomeCounts",
     "RouteEvidence",
     "add_counts",
+    "describe_route",
     "sum_counts",
 ]
 
@@ -165,6 +166,16 @@
     warm_by_server: dict[str, OutcomeCounts]
 
 
+def describe_route(evidence: RouteEvidence) -> str:
+    """Return failed and all requests of both versions on a route, for logs."""
+    new = sum_counts(evidence.new_by_server.values())
+    old = evidence.old
+    return (
+        f"{evidence.route} new {new.failures}/{new.requests}"
+        f" old {old.failures}/{old.requests}"
+    )
+
+
 class Observation(NamedTuple):
     """The latest evidence on a rollout, whatever its stage.
 
