--- a/guavagap/rollout_health.py
+++ b/guavagap/rollout_health.py
@@ -46,10 +46,10 @@
     new = sum_counts(evidence.new_by_server.values())
     bucket = bucket_above_slow_quantile(evidence.history) + SINGLE_DOMAIN_EXTRA_BUCKETS
 
-    def count_slow(counts: OutcomeCounts) -> int:
+    def count_slow(counts: OutcomeCounts) -> float:
         return sum(counts.latency_buckets[bucket:])
 
-    def count_failed(counts: OutcomeCounts) -> int:
+    def count_failed(counts: OutcomeCounts) -> float:
         return counts.failures
 
     failed_ratio = _log_unhealthy_ratio(
--- a/guavagap/rollout_statistics.py
+++ b/guavagap/rollout_statistics.py
@@ -15,6 +15,8 @@
 SLOW_SHARE = 0.1
 MIN_BASELINE_SHARE = 0.002
 MIN_WINDOW_REQUESTS = 5
+# With as many, the window alone is a better estimate than one with the history.
+MIN_COMPARABLE_REQUESTS = 50
 # Five steps of a quarter are a factor of three, by which the speeds of healthy servers
 # of one service differ. All fast servers of a failure domain may run one version.
 SINGLE_DOMAIN_EXTRA_BUCKETS = 5
@@ -43,9 +45,13 @@
 
     The history of the old version makes up for windows with few requests. If the old
     version does worse in the window than in its history, the window counts in full,
-    so that a failure that affects both versions is not attributed to the new one.
+    so that a failure that affects both versions is not attributed to the new one. The
+    history does not count in a window with many requests, so that failures which are
+    over do not hide those of the new version.
     """
     old, history = evidence.old, evidence.history
+    if old.requests >= MIN_COMPARABLE_REQUESTS:
+        return _upper_confidence_bound(count_events(old), old.requests)
     share = _upper_confidence_bound(count_events(history), history.requests)
     if old.requests >= MIN_WINDOW_REQUESTS:
         share = max(share, min(0.95, count_events(old) / old.requests))
--- a/tests/test_rollout_acceptance.py
+++ b/tests/test_rollout_acceptance.py
@@ -13,6 +13,9 @@
 # Bounds that the platform specifies.
 EXPOSURE_SHARE = 0.1
 EXPOSURE_SLACK = 50
+# A faulty version gets nothing this long after as many bad answers.
+ROLLBACK_S = 5.0
+ROLLBACK_ANSWERS = 50
 INTERVAL_S = 0.3
 DURATION_S = 14.0
 DEADLINE_S = 1.5
@@ -37,11 +40,19 @@
 
 
 class Outcome(NamedTuple):
-    """Requests by version, and when the rollout was completed, None if it was not."""
+    """Requests by version, and when the rollout was decided.
+
+    Attributes:
+        completed_at_s: when it was completed, None if it was not.
+        found_at_s: when the new version was found faulty, None if it was not.
+        bad_at_s: when ROLLBACK_ANSWERS of its requests had failed, None if fewer did.
+    """
 
     new_requests: int
     requests: int
     completed_at_s: float | None
+    found_at_s: float | None
+    bad_at_s: float | None
 
 
 def simulate(case: Case, seed: int) -> Outcome:
@@ -61,12 +72,13 @@
     ends = defaultdict(list)
     restarts = list(case.evaluator_restarts_s)
     new_requests = requests = 0
-    completed_at_s, is_rolled_back = None, False
+    completed_at_s = found_at_s = bad_at_s = None
+    bad_answers = 0
     for tick in range(int(DURATION_S / INTERVAL_S)):
         now_s = tick * INTERVAL_S
         weight = 1000 if completed_at_s is not None else rollout["weight_permille"]
         for _ in range(_count_arrivals(rng, case.rate_per_s)):
-            is_new = not is_rolled_back and rng.random() * 1000 < weight
+            is_new = found_at_s is None and rng.random() * 1000 < weight
             requests += 1
             new_requests += is_new
             is_outage = case.outage_s[0] <= now_s < case.outage_s[1]
@@ -78,8 +90,12 @@
         if restarts and now_s >= restarts[0]:
             restarts.pop(0)
             windows = EvidenceWindows("v1", "v2", cold_requests=5)
-        windows.add_tick(tuple(_make_evidence(*end) for end in ends.pop(tick, ())))
-        if is_rolled_back or completed_at_s is not None:
+        ended = ends.pop(tick, ())
+        bad_answers += sum(is_new and is_failed for is_new, _, is_failed in ended)
+        if bad_at_s is None and bad_answers >= ROLLBACK_ANSWERS:
+            bad_at_s = now_s
+        windows.add_tick(tuple(_make_evidence(*end) for end in ended))
+        if found_at_s is not None or completed_at_s is not None:
             continue
         decision = decide_next_step(
             ORDERED_POLICY,
@@ -91,14 +107,14 @@
             windows.observation(),
         )
         if decision.finding is not None:
-            is_rolled_back = True
+            found_at_s = now_s
         elif decision.is_complete:
             completed_at_s = now_s
         elif decision.weight_permille != rollout["weight_permille"]:
             rollout["weight_permille"] = decision.weight_permille
             rollout["stage_started_at_s"] = now_s
             windows.reset_stage()
-    return Outcome(new_requests, requests, completed_at_s)
+    return Outcome(new_requests, requests, completed_at_s, found_at_s, bad_at_s)
 
 
 def _count_arrivals(rng, rate_per_s: float) -> int:
@@ -132,6 +148,20 @@
     def test_failures_of_both_versions_do_not_raise_the_weight(self):
         self.assertEqual({}, self.overexposed(Case(95, 0.4, outage_s=(2.0, 8.0))))
 
+    def test_failures_of_both_versions_to_the_end_do_not_raise_the_weight(self):
+        for outage_s in ((3.0, 14.0), (5.0, 11.0), (7.0, 10.0)):
+            self.assertEqual({}, self.overexposed(Case(95, 0.4, outage_s=outage_s)))
+
+    def test_failures_that_are_over_do_not_hide_those_of_the_new_version(self):
+        late = {}
+        for seed in SEEDS:
+            outcome = simulate(Case(250, 0.25, outage_s=(1.0, 6.0)), seed)
+            due_at_s = (outcome.bad_at_s or DURATION_S) + ROLLBACK_S
+            found_at_s = outcome.found_at_s or DURATION_S
+            if found_at_s > due_at_s:
+                late[seed] = outcome
+        self.assertEqual({}, late)
+
     def test_faulty_version_of_a_calm_service_is_found_in_time(self):
         for rate_per_s in (5, 10, 13, 25, 40, 95, 200):
             self.assertEqual({}, self.overexposed(Case(rate_per_s, 0.35)))
