--- a/guavagap/platform/store.py
+++ b/guavagap/platform/store.py
@@ -16,6 +16,7 @@
 from guavagap.faults import BlockedAddresses
 from guavagap.http1 import Http1Connection, connect_http1
 from guavagap.http_messages import HttpRequest, HttpResponse, exchange_http
+from guavagap.logs import get_logger
 from guavagap.metadata_store import (
     Lease,
     Listing,
@@ -32,6 +33,10 @@
 CALL_TIMEOUT_S = 2.0
 MAX_IDLE_CONNECTIONS = 4
 _BUSY_STATUSES = (429, 503)
+# Number of the store's history, one higher each time that it was restored from a copy.
+_ERA_HEADER = b"store-era"
+
+log = get_logger()
 
 
 class StoreClient(MetadataStore):
@@ -62,6 +67,7 @@
         self.call_counts: Counter[str] = Counter()
         self._blocked = blocked or BlockedAddresses()
         self._idle: list[Http1Connection] = []
+        self._era: bytes | None = None
 
     @property
     def idle_connection_count(self) -> int:
@@ -246,8 +252,20 @@
             path = target.partition("?")[0]
             raise self._unreachable(f"{method.decode()} {path}: {error!r}") from None
         self._record_served(response.status not in _BUSY_STATUSES, started_s)
+        self._record_era(response.header(_ERA_HEADER), target)
         return response
 
+    def _record_era(self, era: bytes | None, target: str) -> None:
+        if era == self._era:
+            return
+        log.warning(
+            "era of the store changed",
+            before=str(self._era),
+            era=str(era),
+            call=target.partition("?")[0],
+        )
+        self._era = era
+
     def _record_served(self, is_served: bool, started_s: float) -> None:
         if is_served:
             self.unavailable_since_s = None
--- a/guavagap/store_relay.py
+++ b/guavagap/store_relay.py
@@ -200,6 +200,13 @@
         """Apply and push changes of the configuration; return whether there are any."""
         delta = self._configuration.make_delta(listing.items)
         if delta is None:
+            if listing.is_complete:
+                log.info(
+                    "nothing newer in the store",
+                    revision=listing.as_of,
+                    epoch=self._configuration.epoch,
+                    items=len(listing.items),
+                )
             return False
         if self._configuration.apply(delta):
             await self._disseminator.push_as_root(delta)
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -1,5 +1,7 @@
 """In-memory fake of the platform's metadata store."""
 
+from typing import NamedTuple
+
 import curio
 
 from guavagap.metadata_store import MirrorItem, StoreItem
@@ -8,6 +10,17 @@
 
 MIN_TTL_S = 0.05
 MAX_TTL_S = 600.0
+# Copies of the store are kept for as long as a restore may go back.
+COPY_RETENTION_S = 60.0
+
+
+class _Copy(NamedTuple):
+    """The state of the store after one change."""
+
+    at_s: float
+    revision: int
+    items: dict[str, StoreItem]
+    created_revisions: dict[str, int]
 
 
 class FakeMetadataStore:
@@ -16,10 +29,15 @@
     Args:
         clock: returns monotonic seconds.
         history_retention_s: how long changes stay available to watches.
+
+    Attributes:
+        revision: revision of the latest change.
+        era: number of the current history, one higher after each restore.
     """
 
     def __init__(self, clock, history_retention_s: float = 20.0):
         self.revision = 1
+        self.era = 1
         self.history_retention_s = history_retention_s
         self._clock = clock
         self._items: dict[str, StoreItem] = {}
@@ -28,6 +46,7 @@
         self._history: list[tuple[float, MirrorItem]] = []
         self._compacted_revision = 0
         self._changed = curio.Condition()
+        self._copies = [_Copy(clock(), self.revision, {}, {})]
 
     def get(self, key: str) -> StoreItem | None:
         """Return the item of a key, None if there is none."""
@@ -47,7 +66,7 @@
     def changes_since(self, prefix: str, after: int) -> list[MirrorItem] | None:
         """Return the changes after a revision, None if some were compacted."""
         self._expire()
-        if after < self._compacted_revision:
+        if after < self._compacted_revision or after > self.revision:
             return None
         return [
             item
@@ -137,6 +156,60 @@
             self._remove(key)
         await self.notify_watches()
 
+    async def restore(self, age_s: float, are_leases_kept: bool = False) -> None:
+        """Replace the state by a copy of ``age_s`` seconds ago.
+
+        Revisions are given out again from that of the copy, and so are the identifiers
+        of leases that were granted since.
+
+        Args:
+            age_s: age of the copy.
+            are_leases_kept: whether leases that the copy's keys are attached to still
+                exist; otherwise these keys are lost with them.
+        """
+        self._expire()
+        self._append_copy()
+        copy_s = self._clock() - age_s
+        copies = [copy for copy in self._copies if copy.at_s <= copy_s]
+        copy = copies[-1] if copies else self._copies[0]
+        self._copies = [other for other in self._copies if other.at_s <= copy.at_s]
+        self.revision = copy.revision
+        self.era += 1
+        self._items = dict(copy.items)
+        self._created_revisions = dict(copy.created_revisions)
+        if not are_leases_kept:
+            self._leases.clear()
+        for key, item in list(self._items.items()):
+            if item.lease_id and item.lease_id not in self._leases:
+                del self._items[key], self._created_revisions[key]
+        used = {item.lease_id for item in self._items.values()}
+        for lease_id in set(self._leases) - used:
+            del self._leases[lease_id]
+        self._history = [
+            row for row in self._history if row[1].revision <= self.revision
+        ]
+        self._compacted_revision = min(self._compacted_revision, self.revision)
+        await self.notify_watches()
+
+    def items_with_prefix(self, prefix: str) -> dict[str, bytes]:
+        """Return the values of the keys with a prefix."""
+        self._expire()
+        return {
+            key: item.value
+            for key, item in self._items.items()
+            if key.startswith(prefix)
+        }
+
+    def _append_copy(self) -> None:
+        now_s = self._clock()
+        self._copies.append(
+            _Copy(
+                now_s, self.revision, dict(self._items), dict(self._created_revisions)
+            )
+        )
+        while len(self._copies) > 1 and self._copies[1].at_s < now_s - COPY_RETENTION_S:
+            self._copies.pop(0)
+
     def compact(self) -> None:
         """Discard the change history."""
         self._history.clear()
@@ -168,6 +241,8 @@
 
     async def notify_watches(self) -> None:
         """Wake every pending watch."""
+        if self.revision != self._copies[-1].revision:
+            self._append_copy()
         async with self._changed:
             await self._changed.notify_all()
 
--- a/standins/operator_fleet.py
+++ b/standins/operator_fleet.py
@@ -14,7 +14,13 @@
     wait_until,
 )
 
-__all__ = ["HOST", "OperatorFleet", "RouteSpec", "open_operator_fleet"]
+__all__ = [
+    "HOST",
+    "OperatorFleet",
+    "RouteSpec",
+    "encode_configuration",
+    "open_operator_fleet",
+]
 
 HOST = "shop.example"
 
@@ -39,6 +45,44 @@
     kind: str | None = None
 
 
+def encode_configuration(version: int, routes: list[RouteSpec]) -> bytes:
+    """Return a configuration as the operator writes it."""
+    resources = []
+    for number, route in enumerate(routes):
+        spec = {
+            "host": HOST,
+            "prefix": route.prefix,
+            "kind": route.kind or ("safe" if route.is_safe else "unsafe"),
+            "timeoutS": route.timeout_s,
+            "targetLatencyS": route.target_latency_s,
+            "priority": route.priority,
+            "maxAttempts": route.max_attempts,
+        }
+        if len(route.services) == 1:
+            spec["service"] = next(iter(route.services))
+        else:
+            spec["trafficSplit"] = [
+                {"service": name, "weight": weight}
+                for name, weight in route.services.items()
+            ]
+        metadata = {"name": f"r-{number}"}
+        resources.append({"typeUrl": "routes", "metadata": metadata, "spec": spec})
+    services = {name for route in routes for name in route.services}
+    for name in sorted(services):
+        spec = {"healthPath": "/health", "maxConnections": 110}
+        metadata = {"name": name}
+        resources.append({"typeUrl": "services", "metadata": metadata, "spec": spec})
+    limits = {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 1048576,
+        "headerTimeoutS": 3,
+        "idleTimeoutS": 15,
+    }
+    resources.append({"typeUrl": "limits", "metadata": {}, "spec": limits})
+    value = {"version": f"{version:08x}", "resources": resources}
+    return json.dumps(value).encode()
+
+
 class OperatorFleet(Fleet):
     """A fleet whose configuration and rollouts the operator writes to the store."""
 
@@ -88,42 +132,7 @@
 
     def configure(self, version: int, routes: list[RouteSpec]) -> None:
         """Write a configuration to the store as the operator does."""
-        resources = []
-        for number, route in enumerate(routes):
-            spec = {
-                "host": HOST,
-                "prefix": route.prefix,
-                "kind": route.kind or ("safe" if route.is_safe else "unsafe"),
-                "timeoutS": route.timeout_s,
-                "targetLatencyS": route.target_latency_s,
-                "priority": route.priority,
-                "maxAttempts": route.max_attempts,
-            }
-            if len(route.services) == 1:
-                spec["service"] = next(iter(route.services))
-            else:
-                spec["trafficSplit"] = [
-                    {"service": name, "weight": weight}
-                    for name, weight in route.services.items()
-                ]
-            metadata = {"name": f"r-{number}"}
-            resources.append({"typeUrl": "routes", "metadata": metadata, "spec": spec})
-        services = {name for route in routes for name in route.services}
-        for name in sorted(services):
-            spec = {"healthPath": "/health", "maxConnections": 110}
-            metadata = {"name": name}
-            resources.append(
-                {"typeUrl": "services", "metadata": metadata, "spec": spec}
-            )
-        limits = {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 1048576,
-            "headerTimeoutS": 3,
-            "idleTimeoutS": 15,
-        }
-        resources.append({"typeUrl": "limits", "metadata": {}, "spec": limits})
-        value = {"version": f"{version:08x}", "resources": resources}
-        self.write_item("op/config", json.dumps(value).encode())
+        self.write_item("op/config", encode_configuration(version, routes))
 
     def order_rollout(self, service: str, version: str, duration_s: float) -> None:
         """Write a rollout order to the store as the operator does."""
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -8,6 +8,8 @@
 /counts`` returns the number of calls by kind; ``GET`` and ``PUT /items/KEY`` read and
 write a key with its owner's permissions, unaffected by the knobs; ``POST /compact``
 discards the history and ``POST /revoke/PREFIX`` deletes the keys with a prefix.
+``POST /restore`` with ``age_s`` in a JSON object replaces the state by a copy of that
+age; after ``rewrite_after_s`` the operator writes again what it had written since.
 """
 
 import base64
@@ -35,6 +37,8 @@
 
 PAGE_ITEMS = 500
 READ_ONLY_PREFIXES = ("op/", "servers/")
+OPERATOR_PREFIX = "op/"
+ERA_HEADER = b"store-era"
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -67,7 +71,9 @@
         """Handle a call to the store or to a control endpoint."""
         url = urlsplit(request.target.decode())
         if url.path.startswith("/api/"):
-            return await self._handle_call(url, request)
+            response = await self._handle_call(url, request)
+            era = str(self.store.era).encode()
+            return response._replace(headers=[*response.headers, (ERA_HEADER, era)])
         return await self._handle_control(url.path, request)
 
     def set_knobs(self, **knobs) -> None:
@@ -75,6 +81,18 @@
         self._silence_count += bool(knobs.get("is_silent"))
         self.knobs.update(knobs)
 
+    async def restore(
+        self, age_s: float, rewrite_after_s: float = 0.0, are_leases_kept: bool = False
+    ) -> None:
+        """Restore an older copy; the operator then writes again what was lost."""
+        written = self.store.items_with_prefix(OPERATOR_PREFIX)
+        await self.store.restore(age_s, are_leases_kept)
+        await curio.sleep(rewrite_after_s)
+        current = self.store.items_with_prefix(OPERATOR_PREFIX)
+        for key in sorted(written):
+            if current.get(key) != written[key]:
+                await self.store.transact({}, [(key, written[key], 0)], [])
+
     async def _handle_control(self, path: str, request: HttpRequest) -> HttpResponse:
         if path == "/knobs":
             self.set_knobs(**json.loads(request.body))
@@ -85,6 +103,9 @@
         if path == "/compact":
             self.store.compact()
             return HttpResponse(204, [])
+        if path == "/restore":
+            await self.restore(**json.loads(request.body))
+            return HttpResponse(204, [])
         if path.startswith("/revoke/"):
             await self.store.revoke(unquote(path.removeprefix("/revoke/")))
             return HttpResponse(204, [])
