--- a/guavagap/configuration.py
+++ b/guavagap/configuration.py
@@ -63,6 +63,9 @@
     """
 
     unknown_values = ()
+    # Heads are replaced as a whole; two contents of one epoch cannot be merged.
+    is_mergeable = False
+    keys_behind = ()
 
     def __init__(self):
         self.head: Head = EMPTY_HEAD
--- a/guavagap/declared_configuration.py
+++ b/guavagap/declared_configuration.py
@@ -1,10 +1,14 @@
 """Configuration declared by an operator's system, as a mirror of its keys.
 
-The epoch is the highest mirrored revision. A declaration is applied atomically, and
-a declaration with a lower version than the current one is always rejected.
+The epoch is the position up to which the store's history is mirrored. A declaration is
+applied atomically, and a declaration with a lower version than the current one is
+always rejected.
+
+Contents rank by the version of a declaration and by the number of decisions of a
+rollout record, so a restore of the store puts nothing older in force; see
+:mod:`guavagap.mirror`.
 """
 
-import hashlib
 from typing import Callable
 
 from guavagap.configuration import Rejection
@@ -16,21 +20,35 @@
     UnknownValue,
     check_declaration,
 )
-from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.errors import GuavagapError
 from guavagap.logs import get_logger
 from guavagap.metadata_store import (
+    Listing,
     MirrorDelta,
     MirrorItem,
     decode_mirror_delta,
     encode_mirror_delta,
 )
-from guavagap.rollout_records import RolloutRecord, decode_record, service_of_record
+from guavagap.mirror import INVALID_RANK, Content, Mirror
+from guavagap.rollout_records import (
+    RolloutRecord,
+    decode_record,
+    is_record_of,
+    record_rank,
+    service_of_record,
+)
 from guavagap.snapshot import (
     EMPTY_SNAPSHOT,
     ServiceState,
     Snapshot,
     build_declared_snapshot,
 )
+from guavagap.store_positions import (
+    BEGINNING,
+    StorePosition,
+    describe_epoch,
+    position_of_epoch,
+)
 
 __all__ = ["DeclaredConfiguration"]
 
@@ -47,24 +65,54 @@
         decode_item: decodes an item of the operator; returns None for other items.
 
     Attributes:
-        epoch: the highest mirrored revision.
         declaration: the current declaration.
-        orders: rollout orders with their revision, by service.
+        orders: rollout orders with their position, by service.
         records: rollout records by service.
         snapshot: the routes of the current declaration.
-        rejections: rejected items by key.
     """
 
+    # Two nodes at one epoch may know different items of before a restore.
+    is_mergeable = True
+
     def __init__(self, is_mirrored: Callable[[str], bool], decode_item: ItemDecoder):
-        self.epoch = 0
         self.declaration: Declaration | None = None
-        self.orders: dict[str, tuple[int, RolloutOrder]] = {}
+        self.orders: dict[str, tuple[StorePosition, RolloutOrder]] = {}
         self.records: dict[str, RolloutRecord] = {}
         self.snapshot: Snapshot = EMPTY_SNAPSHOT
-        self.rejections: dict[str, Rejection] = {}
         self._is_mirrored = is_mirrored
-        self._decode_item = decode_item
-        self._items: dict[str, MirrorItem] = {}
+        self._decode_operator_item = decode_item
+        self._mirror = Mirror(self._decode_item)
+
+    @property
+    def position(self) -> StorePosition:
+        """The position up to which the store's history is mirrored."""
+        return self._mirror.position
+
+    @property
+    def epoch(self) -> int:
+        """The mirrored position as the integer that nodes exchange."""
+        return self.position.epoch
+
+    @property
+    def rejections(self) -> dict[str, Rejection]:
+        """Rejected items by key."""
+        return self._mirror.rejections
+
+    @property
+    def keys_behind(self) -> list[str]:
+        """Keys of which the store shows something older than what is in force."""
+        return self._mirror.keys_behind
+
+    def is_behind(self, key: str) -> bool:
+        """Return whether the store shows something older of a key than is in force."""
+        return self._mirror.is_behind(key)
+
+    def condition_of(self, key: str) -> StorePosition:
+        """Return the position at which the store is known to show a key.
+
+        It is the start of the era if the store does not have the key.
+        """
+        return self._mirror.condition_of(key)
 
     @property
     def is_complete(self) -> bool:
@@ -85,14 +133,13 @@
 
     @property
     def head_digest(self) -> str:
-        """Digest of the mirrored keys and their revisions."""
-        rows = sorted((item.key, item.revision) for item in self._items.values())
-        return hashlib.blake2b(repr(rows).encode(), digest_size=16).hexdigest()
+        """Digest of the mirrored keys and their positions."""
+        return self._mirror.digest
 
     def delta_since(self, base_epoch: int) -> MirrorDelta:
         """Return the delta from ``base_epoch`` to the current epoch."""
-        items = [item for item in self._items.values() if item.revision > base_epoch]
-        return MirrorDelta(base_epoch, self.epoch, tuple(items))
+        items = self._mirror.items_since(position_of_epoch(base_epoch))
+        return MirrorDelta(base_epoch, self.epoch, items)
 
     def encode_delta(self, delta: MirrorDelta) -> bytes:
         """Encode a delta for another node."""
@@ -102,75 +149,68 @@
         """Decode a delta from another node; raises FRAME_INVALID."""
         return decode_mirror_delta(raw)
 
-    def make_delta(self, items: list[MirrorItem]) -> MirrorDelta | None:
-        """Return a delta of the items newer than the mirrored ones, or None."""
-        newer_items = tuple(item for item in items if self._is_newer(item))
+    def apply_listing(self, listing: Listing) -> MirrorDelta | None:
+        """Merge what was read from the store.
+
+        Returns:
+            The delta for nodes that have not read it, or None if there is no change.
+        """
+        if listing.as_of.era < self.position.era:
+            log.info(
+                "listing of an earlier era ignored",
+                as_of=str(listing.as_of),
+                position=str(self.position),
+            )
+            return None
+        items = tuple(item for item in listing.items if self._is_mirrored(item.key))
+        if listing.as_of.era > self.position.era:
+            self.apply(MirrorDelta(0, listing.as_of.epoch, items))
+            return self.delta_since(0)
+        base_epoch = self.epoch
+        newer_items = tuple(item for item in items if self._mirror.is_news(item))
         if not newer_items:
             return None
-        epoch = max(self.epoch, *(item.revision for item in newer_items))
-        return MirrorDelta(self.epoch, epoch, newer_items)
-
-    def _is_newer(self, item: MirrorItem) -> bool:
-        if not self._is_mirrored(item.key):
-            return False
-        current = self._items.get(item.key)
-        return current is None or current.revision < item.revision
+        position = max(self.position, *(item.position for item in newer_items))
+        delta = MirrorDelta(base_epoch, position.epoch, newer_items)
+        self.apply(delta)
+        return delta
 
     def apply(self, delta: MirrorDelta) -> bool:
-        """Merge a delta; return False if it contains no newer item."""
-        newer_items = [item for item in delta.items if self._is_newer(item)]
-        if not newer_items:
-            return False
-        for item in newer_items:
-            self._items[item.key] = item
-            self._apply_item(item)
-        self.epoch = max(self.epoch, delta.epoch)
-        self._rebuild_snapshot()
-        log.info(
-            "configuration applied",
-            epoch=self.epoch,
-            version=0 if self.declaration is None else self.declaration.version,
-            keys=",".join(item.key for item in newer_items),
-            routes=0 if self.declaration is None else len(self.declaration.routes),
-            rejected=len(self.rejections),
-        )
-        return True
+        """Merge a delta; return False if it contains nothing new."""
+        return self._merge(delta.items, position_of_epoch(delta.epoch))
 
-    def _apply_item(self, item: MirrorItem) -> None:
-        try:
-            self._decode_and_apply(item)
-            self.rejections.pop(item.key, None)
-        except GuavagapError as error:
-            rejection = Rejection(item.key, 0, item.revision, error.detail)
-            self.rejections[item.key] = rejection
-            log.error("configuration rejected", **rejection._asdict())
-
-    def _decode_and_apply(self, item: MirrorItem) -> None:
-        service = service_of_record(item.key)
-        if service is not None:
-            self._apply_record(service, item)
-            return
-        value = self._decode_item(item)
-        if isinstance(value, Declaration):
-            self._apply_declaration(value)
-        elif isinstance(value, RolloutOrder):
-            self.orders[value.service] = (item.revision, value)
-
-    def _apply_record(self, service: str, item: MirrorItem) -> None:
-        if item.body is None:
+    def apply_write(self, item: MirrorItem) -> bool:
+        """Merge an item that this node has written; return whether it is new.
+
+        The epoch stays, since the changes before the item may not be mirrored.
+        """
+        return self._merge((item,), BEGINNING)
+
+    def _merge(self, items: tuple[MirrorItem, ...], position: StorePosition) -> bool:
+        is_newer = position > self.position
+        mirrored = tuple(item for item in items if self._is_mirrored(item.key))
+        changed = self._mirror.merge(mirrored, position)
+        for content in changed:
+            self._take(content)
+        if changed:
+            self._rebuild_snapshot()
+            self._log_applied(changed)
+        return is_newer or bool(changed)
+
+    def _take(self, content: Content) -> None:
+        """Put changed content in force."""
+        value = content.value
+        service = service_of_record(content.item.key)
+        if isinstance(value, RolloutOrder):
+            self.orders[value.service] = (content.item.position, value)
+        elif isinstance(value, RolloutRecord):
+            self.records[service] = value
+        elif service is not None and content.problem is None:
             self.records.pop(service, None)
-            return
-        self.records[service] = decode_record(item.body)
-
-    def _apply_declaration(self, declaration: Declaration) -> None:
-        current = self.declaration
-        if current is not None and declaration.version < current.version:
-            raise GuavagapError(
-                ErrorKind.CONFIGURATION_REJECTED,
-                f"version {declaration.version} is lower than the current version"
-                f" {current.version}",
-            )
-        check_declaration(declaration)
+        elif isinstance(value, Declaration) and value is not self.declaration:
+            self._declare(value)
+
+    def _declare(self, declaration: Declaration) -> None:
         self.declaration = declaration
         for unknown in declaration.unknown_values:
             log.warning(
@@ -180,10 +220,29 @@
                 outcome="default used",
             )
 
-    def revision_of(self, key: str) -> int:
-        """Return the revision of a mirrored key, or 0 if there is no such key."""
-        item = self._items.get(key)
-        return 0 if item is None or item.body is None else item.revision
+    def _decode_item(self, item: MirrorItem) -> Content:
+        try:
+            if service_of_record(item.key) is not None:
+                record = None if item.body is None else decode_record(item.body)
+                return Content(item, record, record_rank(record) if record else 0)
+            value = self._decode_operator_item(item)
+            if not isinstance(value, Declaration):
+                return Content(item, value, 0)
+            check_declaration(value)
+            return Content(item, value, value.version)
+        except GuavagapError as error:
+            return Content(item, None, INVALID_RANK, error.detail)
+
+    def _log_applied(self, changed: list[Content]) -> None:
+        log.info(
+            "configuration applied",
+            epoch=describe_epoch(self.epoch),
+            version=0 if self.declaration is None else self.declaration.version,
+            keys=",".join(content.item.key for content in changed),
+            routes=0 if self.declaration is None else len(self.declaration.routes),
+            rejected=len(self.rejections),
+            behind=len(self.keys_behind),
+        )
 
     def _rebuild_snapshot(self) -> None:
         if self.declaration is None:
@@ -204,7 +263,7 @@
         if order is None:
             return ServiceState(service, version, self.epoch, stable, "", 0, excluded)
         to_version = order[1].to_version
-        if record is None or record.order_revision < order[0]:
+        if record is None or not is_record_of(record, *order):
             # The ordered rollout has not started: the new version gets no traffic yet.
             return ServiceState(
                 service, version, self.epoch, stable, to_version, 0, excluded
--- a/guavagap/deployment_factory.py
+++ b/guavagap/deployment_factory.py
@@ -4,7 +4,8 @@
 
 from guavagap.documents_deployment import DocumentsDeployment
 from guavagap.faults import BlockedAddresses
-from guavagap.operator_deployment import OperatorDeployment, obtain_mesh_key
+from guavagap.mesh_keys import obtain_mesh_key
+from guavagap.operator_deployment import OperatorDeployment
 from guavagap.platform.adapter import open_adapter
 from guavagap.platform.key_value import open_key_value_store
 from guavagap.settings import OPERATOR_DEPLOYMENT, Settings
--- a/guavagap/link.py
+++ b/guavagap/link.py
@@ -37,7 +37,7 @@
 
 __all__ = ["Link", "LinkIdentity", "TrafficCounts", "accept_link", "dial_link"]
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 NONCE_BYTES = 16
 MAC_BYTES = 16
 MAX_FRAME_BYTES = 2 * 1024 * 1024
--- a/guavagap/metadata_store.py
+++ b/guavagap/metadata_store.py
@@ -1,8 +1,8 @@
-"""Interface of a platform's metadata store, and the types of the nodes' mirror of it.
+"""Interface to a platform's metadata store, and the types of the nodes' mirror of it.
 
-Each mirrored item has the revision of its last change. A delta from any epoch is
-therefore a filter by revision, and items can be merged in any order. The epoch of a
-mirror is the highest revision in it.
+Each mirrored item has the position of its last change. A delta from any epoch is
+therefore a filter by position, and items can be merged in any order. An epoch is the
+position up to which a mirror is complete, as an integer.
 """
 
 import base64
@@ -13,6 +13,7 @@
 
 from guavagap.clock import steady_s
 from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.store_positions import StorePosition
 
 __all__ = [
     "Lease",
@@ -35,11 +36,34 @@
 
 
 class MirrorItem(NamedTuple):
-    """The last change of a key; ``body`` is None when the key was removed."""
+    """The last known change of a key.
+
+    Attributes:
+        position: where the change was read.
+        body: the value; None when the key was removed.
+        outranks: set while the store shows something older than this change, which a
+            restore brought back: the position of that, or the start of the era if the
+            store does not have the key.
+        corrections: number of nodes after each other that have put this change in place
+            of one that others took for the latest.
+    """
 
     key: str
-    revision: int
+    position: StorePosition
     body: bytes | None
+    outranks: StorePosition | None = None
+    corrections: int = 0
+
+    @property
+    def shown_at(self) -> StorePosition:
+        """The latest position at which the store is known to show this key."""
+        return self.position if self.outranks is None else self.outranks
+
+    @property
+    def order(self) -> tuple[StorePosition, bool, int, StorePosition]:
+        """Sort key by which the later of two items of a key is known."""
+        is_outranking = self.outranks is not None
+        return (self.shown_at, is_outranking, self.corrections, self.position)
 
 
 class MirrorDelta(NamedTuple):
@@ -57,14 +81,14 @@
 
 
 class Listing(NamedTuple):
-    """Items or changes, and the revision from which a watch continues.
+    """Items or changes, and the position from which a watch continues.
 
     Attributes:
         is_complete: whether ``items`` are all items rather than the latest changes.
     """
 
     items: list[MirrorItem]
-    as_of: int
+    as_of: StorePosition
     is_complete: bool = False
 
 
@@ -73,7 +97,7 @@
 
     key: str
     value: bytes
-    revision: int
+    position: StorePosition
     lease_id: int
 
 
@@ -89,35 +113,45 @@
     """The result of a transaction.
 
     Attributes:
-        revision: revision of the change; None when a condition failed.
+        position: position of the change; None when a condition failed.
         current_items: the current items of the conditions' keys when one failed.
     """
 
-    revision: int | None
+    position: StorePosition | None
     current_items: list[StoreItem]
 
 
 class Lease(NamedTuple):
-    """A lease and its time-to-live, counted from the arrival of the latest renewal."""
+    """A lease and its time-to-live, counted from the arrival of the latest renewal.
+
+    Attributes:
+        era: era of the store in which the lease was granted. A restored store may
+            grant the same identifier to another node.
+    """
 
     lease_id: int
     ttl_s: float
+    era: int = 0
 
 
 class MetadataStore(ABC):
     """Store of keys with revisions, watches, transactions and leases.
 
     Each call raises :class:`GuavagapError` PLATFORM_UNREACHABLE when there is no
-    response; a write may then still take effect, even later. It raises PLATFORM_BUSY
-    when the store reports that it did nothing.
+    response, or one from before a restore; a write may then still take effect, even
+    later. It raises PLATFORM_BUSY when the store reports that it did nothing.
 
     Attributes:
         call_counts: number of calls by kind.
+        era: the latest era of the store that a response named.
+        restore_count: number of restores that the responses have shown.
         unavailable_since_s: monotonic start time of the first call that was not served
             since the last served call; None while calls are served.
     """
 
     call_counts: Counter[str]
+    era: int = 0
+    restore_count: int = 0
     unavailable_since_s: float | None = None
 
     @property
@@ -129,8 +163,8 @@
     @abstractmethod
     async def get(
         self, key: str, is_stale_allowed: bool = False
-    ) -> tuple[StoreItem | None, int]:
-        """Return the item of a key, or None, and the revision of the store.
+    ) -> tuple[StoreItem | None, StorePosition]:
+        """Return the item of a key, or None, and the position of the store.
 
         Args:
             key: the key.
@@ -145,31 +179,41 @@
     async def watch_prefix(
         self,
         prefix: str,
-        after: int,
+        after: StorePosition,
         wait_s: float,
         response_timeout_s: float | None = None,
     ) -> Listing:
-        """Wait for changes after a revision, at most ``wait_s`` seconds.
+        """Wait for changes after a position, at most ``wait_s`` seconds.
 
         Args:
             prefix: prefix of the watched keys.
-            after: the revision from which changes are returned.
+            after: the position from which changes are returned.
             wait_s: how long the store may hold the call while there is no change.
             response_timeout_s: time limit of the response beyond ``wait_s``; that of
                 other calls by default.
 
         Raises:
-            GuavagapError: HISTORY_LOST when the store no longer retains these changes.
+            GuavagapError: HISTORY_LOST when the store no longer retains these changes
+                or was restored since.
         """
 
     @abstractmethod
     async def transact(
         self,
-        expected: dict[str, int],
+        expected: dict[str, StorePosition],
         writes: list[Write],
         removed: list[str] | None = None,
     ) -> TransactionOutcome:
-        """Write and remove keys atomically if each key has its expected revision.
+        """Write and remove keys atomically if each key is at its expected position.
+
+        A condition on a position of an earlier era fails. If the store is restored
+        while the call is on its way, the outcome is unknown.
+
+        Args:
+            expected: expected position by key; the start of an era for a key that must
+                not exist.
+            writes: keys to write.
+            removed: keys to remove.
 
         Raises:
             GuavagapError: NOT_FOUND when a lease no longer exists.
@@ -180,8 +224,8 @@
         """Create a lease; return it with the time-to-live that the store granted."""
 
     @abstractmethod
-    async def renew_lease(self, lease_id: int) -> bool:
-        """Renew a lease; return False when it no longer exists."""
+    async def renew_lease(self, lease: Lease) -> bool:
+        """Renew a lease; return False when it no longer exists, or not for certain."""
 
     @abstractmethod
     async def revoke_lease(self, lease_id: int) -> None:
@@ -191,8 +235,14 @@
 def encode_mirror_delta(delta: MirrorDelta) -> bytes:
     """Return the JSON of a delta."""
     items = [
-        [key, revision, None if body is None else base64.b64encode(body).decode()]
-        for key, revision, body in delta.items
+        [
+            item.key,
+            item.position,
+            None if item.body is None else base64.b64encode(item.body).decode(),
+            item.outranks,
+            item.corrections,
+        ]
+        for item in delta.items
     ]
     return json.dumps([delta.base_epoch, delta.epoch, items]).encode()
 
@@ -208,13 +258,20 @@
         items = tuple(
             MirrorItem(
                 str(key),
-                int(revision),
+                _decode_position(position),
                 None if body is None else base64.b64decode(body),
+                None if outranks is None else _decode_position(outranks),
+                int(corrections),
             )
-            for key, revision, body in rows
+            for key, position, body, outranks, corrections in rows
         )
         return MirrorDelta(int(base_epoch), int(epoch), items)
     except (ValueError, TypeError) as error:
         raise GuavagapError(
             ErrorKind.FRAME_INVALID, f"the delta cannot be decoded: {error!r}"
         ) from None
+
+
+def _decode_position(row: list) -> StorePosition:
+    era, revision = row
+    return StorePosition(int(era), int(revision))
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -5,23 +5,22 @@
 on their VM, and only that node can reach them.
 """
 
-import os
 import random
 from typing import Callable, NamedTuple
 
 import curio
 
-from guavagap.addresses import Address, format_address, parse_address
-from guavagap.backoff import Backoff
+from guavagap.addresses import format_address, parse_address
 from guavagap.clock import steady_s
 from guavagap.declarations import Declaration, RolloutOrder
 from guavagap.declared_configuration import DeclaredConfiguration
 from guavagap.deployment import Deployment
 from guavagap.dialect import Dialect
-from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.errors import GuavagapError
 from guavagap.head import Rollout
-from guavagap.key_transfer import KeyOffer, request_key
+from guavagap.key_transfer import KeyOffer
 from guavagap.logs import get_logger
+from guavagap.mesh_keys import StoredKey
 from guavagap.messages import DatagramKind
 from guavagap.metadata_store import Lease, Listing, MetadataStore, MirrorItem, Write
 from guavagap.node_entries import (
@@ -38,18 +37,16 @@
 from guavagap.rollout_repositories import RecordRolloutRepository
 from guavagap.routing import ForwardingRouter
 from guavagap.settings import Settings
+from guavagap.store_positions import BEGINNING
 from guavagap.store_relay import StoreRelay
 
 __all__ = [
     "OperatorAdapter",
     "OperatorDeployment",
-    "obtain_mesh_key",
 ]
 
 log = get_logger()
 
-MESH_KEY = "mesh/key"
-MESH_KEY_BYTES = 32
 # Key in the table of the store's entries for the node that provided the mesh key.
 KEY_PROVIDER_ENTRY = "giver"
 # A process that terminates is restarted within seconds.
@@ -61,6 +58,9 @@
 ENTRY_RENEWAL_INTERVAL_S = 10.0
 ENTRY_CHECK_INTERVAL_S = 0.5
 MAX_ENTRY_RETRY_DELAY_S = 1.0
+# Entries are needed again within two seconds of a restore. A node learns of it within
+# the pause between two calls of a relay, and checks each ENTRY_CHECK_INTERVAL_S.
+MAX_RESTORE_DELAY_S = 0.5
 LISTING_POLL_INTERVAL_S = 0.05
 # When all nodes start at the same time, they list the store before any of them has
 # written an entry. Some write theirs at once, and so does the one that has created the
@@ -70,13 +70,6 @@
 ENTRY_DELAY_S = 1.0
 INTRODUCE_INTERVAL_S = 0.3
 SYNC_POLL_INTERVAL_S = 0.02
-KEY_BACKOFF_FIRST_S = 0.1
-KEY_BACKOFF_LIMIT_S = 1.0
-# When all nodes start for the first time, few of them should create the key and the
-# others read it. The share that creates it doubles in each round, so a single node
-# does so within a second.
-FIRST_CREATOR_SHARE = 1 / 128
-KEY_ROUND_INTERVAL_S = 0.12
 # Clients check readiness once a second and detect within two checks that a node is
 # not ready.
 ACCEPT_GRACE_S = 2.4
@@ -88,17 +81,6 @@
 USABLE_RETRY_SHARE = 0.5
 
 
-class StoredKey(NamedTuple):
-    """The mesh key as it is stored.
-
-    Attributes:
-        is_created: whether this node has created it, as the first of its mesh.
-    """
-
-    key_bytes: bytes
-    is_created: bool = False
-
-
 class OperatorAdapter(NamedTuple):
     """The functions and clients that the adapter of a platform provides.
 
@@ -151,7 +133,7 @@
         self._entries: dict[str, bytes] = {}
         if isinstance(key, KeyOffer):
             self._entries[KEY_PROVIDER_ENTRY] = format_address(key.provider).encode()
-        self._entry_revision = 0
+        self._entry_position = BEGINNING
         self._is_entry_lost = False
         self._listed_at_s: float | None = None
         is_key_created = isinstance(key, StoredKey) and key.is_created
@@ -162,6 +144,11 @@
         """Number of platform calls by kind."""
         return self._adapter.store.call_counts
 
+    @property
+    def store_era(self) -> int:
+        """Number of the store's history, as this node or another one has seen it."""
+        return max(self._adapter.store.era, self.configuration.position.era)
+
     def _is_mirrored(self, key: str) -> bool:
         return key.startswith((self._adapter.operator_prefix, RECORD_PREFIX))
 
@@ -230,14 +217,14 @@
             provider = self._entries.get(KEY_PROVIDER_ENTRY)
             self._entries = {} if provider is None else {KEY_PROVIDER_ENTRY: provider}
             keys = {item.key for item in listing.items}
-            is_written = 0 < self._entry_revision <= listing.as_of
+            is_written = BEGINNING < self._entry_position <= listing.as_of
             self._is_entry_lost |= is_written and local_key not in keys
         for item in listing.items:
             if not item.key.startswith(ENTRY_PREFIX):
                 continue
             if item.key != local_key:
                 self._record_entry(item)
-            elif item.body is None and item.revision > self._entry_revision:
+            elif item.body is None and item.position > self._entry_position:
                 self._is_entry_lost = True
 
     def _record_entry(self, item: MirrorItem) -> None:
@@ -252,14 +239,15 @@
             await curio.sleep(INTRODUCE_INTERVAL_S)
             if self._entries and not self._node.table.has_alive_peer():
                 await self._introduce()
-            if self._adapter.store.is_unavailable:
+            if self._adapter.store.is_unavailable or self._is_restore_recent():
                 await self._ping_departed_members()
 
     async def _ping_departed_members(self) -> None:
         """Ping some recently departed members.
 
-        While the store is unavailable, it cannot announce their restart, and a
-        restarted node needs a datagram before it can request the mesh key.
+        While the store is unavailable, or lacks the entries of nodes that run, it
+        cannot announce their restart, and a restarted node needs a datagram before it
+        can request the mesh key.
         """
         table = self._node.table
         rows = table.departed_within(RECENTLY_DEPARTED_S)
@@ -307,7 +295,7 @@
                 log.info("entry not renewed", kind=error.kind.value, why=error.detail)
                 await curio.sleep(random.uniform(0, MAX_ENTRY_RETRY_DELAY_S))
                 continue
-            await self._wait_for_renewal()
+            await self._wait_for_renewal(lease)
 
     def _needs_entry(self) -> bool:
         """Return whether starting nodes of the failure domain need its entry."""
@@ -319,18 +307,32 @@
         )
         return needs_entry(state, self._entries, self._settings.failure_domain)
 
-    async def _wait_for_renewal(self) -> None:
+    async def _wait_for_renewal(self, lease: Lease) -> None:
         """Wait until the entry must be renewed or is found to be lost."""
         steps = int(ENTRY_RENEWAL_INTERVAL_S / ENTRY_CHECK_INTERVAL_S)
         for _ in range(steps):
             if self._is_entry_lost:
                 return
+            if lease.era < self.store_era:
+                # All entries are lost at once; the store limits the rate of writes.
+                await curio.sleep(random.uniform(0, MAX_RESTORE_DELAY_S))
+                return
             await curio.sleep(ENTRY_CHECK_INTERVAL_S)
 
+    def _is_restore_recent(self) -> bool:
+        """Return whether entries may be missing since the store was restored."""
+        return bool(self.configuration.keys_behind) or self._entry_position.era not in (
+            0,
+            self.store_era,
+        )
+
     async def _refresh_entry(self, lease: Lease | None) -> Lease:
         """Renew the lease, and write the entry if it or its lease is lost."""
         store = self._adapter.store
-        if lease is not None and not await store.renew_lease(lease.lease_id):
+        if lease is not None and lease.era < self.store_era:
+            log.info("lease lost by a restore of the store", era=lease.era)
+            lease = None
+        if lease is not None and not await store.renew_lease(lease):
             lease = None
         if lease is not None and not self._is_entry_lost:
             return lease
@@ -339,61 +341,7 @@
         key = self._entry_key
         address = format_address(self._settings.mesh_address).encode()
         outcome = await store.transact({}, [Write(key, address, lease.lease_id)])
-        self._entry_revision = outcome.revision or 0
+        self._entry_position = outcome.position or BEGINNING
         self._is_entry_lost = False
-        log.info("entry written", key=key, revision=self._entry_revision)
+        log.info("entry written", key=key, position=str(self._entry_position))
         return lease
-
-
-async def obtain_mesh_key(
-    store: MetadataStore, mesh_address: Address
-) -> KeyOffer | StoredKey:
-    """Return the mesh key, from the store or from another node."""
-    async with curio.TaskGroup(wait=any) as group:
-        await group.spawn(_read_or_create_key, store)
-        await group.spawn(request_key, mesh_address)
-    return group.result
-
-
-async def _read_or_create_key(store: MetadataStore) -> StoredKey:
-    """Return the mesh key, and create it if there is none.
-
-    A conditional write ensures that only one of several concurrent creators succeeds;
-    the others get its key. Retries while the store is unreachable.
-    """
-    backoff = Backoff(KEY_BACKOFF_FIRST_S, KEY_BACKOFF_LIMIT_S)
-    creator_share = FIRST_CREATOR_SHARE
-    while True:
-        try:
-            # The key never changes, so a stale read suffices, at a tenth of the cost.
-            item, _ = await store.get(MESH_KEY, is_stale_allowed=True)
-            if item is not None:
-                return StoredKey(item.value)
-            if random.random() < creator_share:
-                return await _create_key(store)
-            creator_share *= 2
-            await curio.sleep(KEY_ROUND_INTERVAL_S)
-        except GuavagapError as error:
-            log.warning(
-                "mesh key not obtained", kind=error.kind.value, why=error.detail
-            )
-            await curio.sleep(backoff.next_s())
-
-
-async def _create_key(store: MetadataStore) -> StoredKey:
-    """Create the mesh key; return the current one if another node was first.
-
-    Raises:
-        GuavagapError: PLATFORM_BUSY if the store tells neither; see also
-            :class:`guavagap.metadata_store.MetadataStore`.
-    """
-    key_bytes = os.urandom(MESH_KEY_BYTES)
-    outcome = await store.transact({MESH_KEY: 0}, [Write(MESH_KEY, key_bytes)])
-    if outcome.revision is not None:
-        return StoredKey(key_bytes, is_created=True)
-    for item in outcome.current_items:
-        if item.key == MESH_KEY and item.value:
-            return StoredKey(item.value)
-    raise GuavagapError(
-        ErrorKind.PLATFORM_BUSY, "the store named no key that exists instead"
-    )
--- a/guavagap/platform/key_value.py
+++ b/guavagap/platform/key_value.py
@@ -8,6 +8,7 @@
 from guavagap.key_value import ABSENT, KeyValueStore, StoredValue, check_value_size
 from guavagap.metadata_store import NO_LEASE, StoreItem, Write
 from guavagap.platform.store import CALL_TIMEOUT_S, StoreClient, open_store_client
+from guavagap.store_positions import StorePosition
 
 __all__ = ["PlatformKeyValueStore", "open_key_value_store"]
 
@@ -55,13 +56,20 @@
         await self._write(key, expected, [], [key])
 
     async def _write(self, key, expected, writes, removed) -> str:
-        condition = {key: int(expected) if expected != ABSENT else 0}
+        condition = {key: self._decode_revision(expected)}
         outcome = await self._map_busy_error(
             self.client.transact(condition, writes, removed)
         )
-        if outcome.revision is None:
+        if outcome.position is None:
             raise GuavagapError(ErrorKind.CONFLICT, f"{key} was modified concurrently")
-        return str(outcome.revision)
+        return str(outcome.position)
+
+    def _decode_revision(self, revision: str) -> StorePosition:
+        """Return the position that a revision of this interface stands for."""
+        if revision == ABSENT:
+            return StorePosition(self.client.era, 0)
+        era, _, number = revision.partition("/")
+        return StorePosition(int(era), int(number))
 
     async def _map_busy_error(self, call):
         """Await a call and raise PLATFORM_UNREACHABLE in place of PLATFORM_BUSY.
@@ -79,11 +87,11 @@
 
 
 def _revision_of(item: StoreItem | None) -> str:
-    return ABSENT if item is None else str(item.revision)
+    return ABSENT if item is None else str(item.position)
 
 
 def _to_stored_value(item: StoreItem | None) -> StoredValue | None:
-    return None if item is None else StoredValue(item.value, str(item.revision))
+    return None if item is None else StoredValue(item.value, str(item.position))
 
 
 @asynccontextmanager
--- a/guavagap/platform/store.py
+++ b/guavagap/platform/store.py
@@ -26,6 +26,7 @@
     TransactionOutcome,
     Write,
 )
+from guavagap.store_positions import StorePosition
 
 __all__ = ["StoreClient", "open_store_client"]
 
@@ -33,8 +34,10 @@
 CALL_TIMEOUT_S = 2.0
 MAX_IDLE_CONNECTIONS = 4
 _BUSY_STATUSES = (429, 503)
-# Number of the store's history, one higher each time that it was restored from a copy.
+# In all responses, one higher each time that the store was restored from a copy.
 _ERA_HEADER = b"store-era"
+# A restore during a listing makes its pages useless; restores are seconds apart.
+MAX_LISTINGS = 3
 
 log = get_logger()
 
@@ -43,8 +46,8 @@
     """Client of the store that reuses a few persistent connections.
 
     Each call raises :class:`GuavagapError` PLATFORM_UNREACHABLE when there is no
-    response; a write may then still take effect, even later. It raises PLATFORM_BUSY
-    when the store reports that it did nothing.
+    response, or one from before a restore; a write may then still take effect, even
+    later. It raises PLATFORM_BUSY when the store reports that it did nothing.
 
     Args:
         address: address of the store.
@@ -67,7 +70,6 @@
         self.call_counts: Counter[str] = Counter()
         self._blocked = blocked or BlockedAddresses()
         self._idle: list[Http1Connection] = []
-        self._era: bytes | None = None
 
     @property
     def idle_connection_count(self) -> int:
@@ -76,21 +78,30 @@
 
     async def get(
         self, key: str, is_stale_allowed: bool = False
-    ) -> tuple[StoreItem | None, int]:
-        """Return the item of a key, or None, and the revision of the store."""
+    ) -> tuple[StoreItem | None, StorePosition]:
+        """Return the item of a key, or None, and the position of the store."""
         self.call_counts["stale_get" if is_stale_allowed else "get"] += 1
         target = f"/api/kv-key?key={quote(key, safe='')}"
         if is_stale_allowed:
             target += "&allowStale=1"
-        response = await self._call(b"GET", target)
+        response, era = await self._call(b"GET", target)
         if response.status == 404:
             value = _decode_json_object(response) if response.body else {}
-            return None, int(value.get("asOf", 0))
+            return None, StorePosition(era, int(value.get("asOf", 0)))
         value = self._decode_response(response)
-        return _decode_item(value), _int_field(value, "asOf")
+        return _decode_item(value, era), _decode_position(value, "asOf", era)
 
     async def list_prefix(self, prefix: str) -> Listing:
         """Return every item whose key starts with a prefix."""
+        for _ in range(MAX_LISTINGS):
+            listing = await self._list_pages(prefix)
+            if listing.as_of.era == self.era:
+                return listing
+            log.info("store restored during a listing, listing again", era=self.era)
+        raise self._unreachable("restored again during each listing")
+
+    async def _list_pages(self, prefix: str) -> Listing:
+        """Return the items of all pages, or those before a page of another era."""
         items: list[MirrorItem] = []
         as_of = None
         after = ""
@@ -99,12 +110,15 @@
             target = f"/api/kv-range?prefix={quote(prefix, safe='')}"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            value = self._decode_response(await self._call(b"GET", target))
-            page = [_decode_change(item) for item in _object_list(value, "items")]
-            items += page
-            # Pages are not one snapshot, so a watch must continue from the revision of
-            # the first page.
-            as_of = _int_field(value, "asOf") if as_of is None else as_of
+            response, era = await self._call(b"GET", target)
+            value = self._decode_response(response)
+            page = [_decode_change(item, era) for item in _object_list(value, "items")]
+            # Pages are not one snapshot, so a watch must continue from the position of
+            # the first page, and it returns what was changed after that.
+            as_of = as_of or _decode_position(value, "asOf", era)
+            if era != as_of.era:
+                return Listing(items, as_of)
+            items += [item for item in page if item.position <= as_of]
             if not value.get("hasMore") or not page:
                 return Listing(items, as_of, is_complete=True)
             after = page[-1].key
@@ -112,52 +126,68 @@
     async def watch_prefix(
         self,
         prefix: str,
-        after: int,
+        after: StorePosition,
         wait_s: float,
         response_timeout_s: float | None = None,
     ) -> Listing:
-        """Wait for changes after a revision, at most ``wait_s`` seconds.
+        """Wait for changes after a position, at most ``wait_s`` seconds.
 
         Raises:
-            GuavagapError: HISTORY_LOST when the store no longer retains these changes.
+            GuavagapError: HISTORY_LOST when the store no longer retains these changes
+                or was restored since.
         """
+        if after.era < self.era:
+            raise _history_lost(after, f"the store is in era {self.era}")
         self.call_counts["watch"] += 1
         target = (
             f"/api/kv-watch?prefix={quote(prefix, safe='')}"
-            f"&after={after}&waitMs={int(wait_s * 1000)}"
+            f"&after={after.revision}&waitMs={int(wait_s * 1000)}"
         )
-        response = await self._call(
+        response, era = await self._call(
             b"GET", target, wait_s=wait_s, timeout_s=response_timeout_s
         )
+        if era != after.era:
+            raise _history_lost(after, f"the store is in era {era}")
         if response.status == 410:
-            raise GuavagapError(
-                ErrorKind.HISTORY_LOST,
-                f"the changes after revision {after} are no longer retained",
-            )
+            raise _history_lost(after, "no longer retained")
         value = self._decode_response(response)
-        changes = [_decode_change(item) for item in _object_list(value, "events")]
-        return Listing(changes, _int_field(value, "asOf"))
+        changes = [_decode_change(item, era) for item in _object_list(value, "events")]
+        return Listing(changes, _decode_position(value, "asOf", era))
 
     async def transact(
         self,
-        expected: dict[str, int],
+        expected: dict[str, StorePosition],
         writes: list[Write],
         removed: list[str] | None = None,
     ) -> TransactionOutcome:
-        """Write and remove keys atomically if each key has its expected revision.
+        """Write and remove keys atomically if each key is at its expected position.
+
+        A condition on a position of an earlier era fails. If the store is restored
+        while the call is on its way, the outcome is unknown.
 
         Args:
-            expected: expected revision by key; 0 for a key that must not exist.
+            expected: expected position by key; the start of an era for a key that must
+                not exist.
             writes: keys to write.
             removed: keys to remove.
 
         Raises:
             GuavagapError: NOT_FOUND when a lease no longer exists.
         """
+        # Before the first response, the era is not known.
+        eras = {position.era for position in expected.values() if position.era}
+        if eras and min(eras) < self.era:
+            log.info(
+                "condition of an earlier era not sent",
+                keys=",".join(expected),
+                era=self.era,
+            )
+            return TransactionOutcome(None, [])
         self.call_counts["transact"] += 1
         body = {
             "expectedRev": [
-                {"key": key, "revision": revision} for key, revision in expected.items()
+                {"key": key, "revision": position.revision}
+                for key, position in expected.items()
             ],
             "puts": [
                 {
@@ -169,28 +199,33 @@
             ],
             "remove": removed or [],
         }
-        response = await self._call(b"POST", "/api/kv-txn", body)
+        response, era = await self._call(b"POST", "/api/kv-txn", body)
         if response.status == 412:
             current = _object_list(_decode_json_object(response), "items")
-            return TransactionOutcome(None, [_decode_item(item) for item in current])
+            return TransactionOutcome(None, [_decode_item(row, era) for row in current])
         if response.status == 404:
             raise GuavagapError(ErrorKind.NOT_FOUND, "the lease no longer exists")
-        return TransactionOutcome(
-            _int_field(self._decode_response(response), "revision"), []
-        )
+        value = self._decode_response(response)
+        if eras - {era}:
+            # The revisions of the conditions meant other content when they were read.
+            raise self._unreachable(f"written in era {era} on conditions of {eras}")
+        return TransactionOutcome(_decode_position(value, "revision", era), [])
 
     async def grant_lease(self, ttl_s: float) -> Lease:
         """Create a lease; return it with the time-to-live that the store granted."""
         self.call_counts["lease"] += 1
-        response = await self._call(b"POST", "/api/kv-lease", {"ttlS": ttl_s})
+        response, era = await self._call(b"POST", "/api/kv-lease", {"ttlS": ttl_s})
         value = self._decode_response(response)
-        return Lease(_int_field(value, "lease"), float(value.get("ttlS", ttl_s)))
+        ttl_s = float(value.get("ttlS", ttl_s))
+        return Lease(_int_field(value, "lease"), ttl_s, era)
 
-    async def renew_lease(self, lease_id: int) -> bool:
-        """Renew a lease; return False when it no longer exists."""
+    async def renew_lease(self, lease: Lease) -> bool:
+        """Renew a lease; return False when it no longer exists, or not for certain."""
+        if lease.era < self.era:
+            return False
         self.call_counts["keep"] += 1
-        response = await self._call(b"POST", f"/api/kv-keep/{lease_id}", {})
-        if response.status == 404:
+        response, era = await self._call(b"POST", f"/api/kv-keep/{lease.lease_id}", {})
+        if response.status == 404 or era != lease.era:
             return False
         self._decode_response(response)
         return True
@@ -198,7 +233,7 @@
     async def revoke_lease(self, lease_id: int) -> None:
         """Revoke a lease, which removes its keys; ignore one that no longer exists."""
         self.call_counts["lease"] += 1
-        response = await self._call(b"DELETE", f"/api/kv-lease-end/{lease_id}")
+        response, _ = await self._call(b"DELETE", f"/api/kv-lease-end/{lease_id}")
         if response.status != 404:
             self._decode_response(response)
 
@@ -227,7 +262,8 @@
         body=None,
         wait_s: float = 0,
         timeout_s: float | None = None,
-    ) -> HttpResponse:
+    ) -> tuple[HttpResponse, int]:
+        """Return the response of a call and the era of the store that it names."""
         if self.address in self._blocked:
             self._record_served(False, steady_s())
             raise self._unreachable("blocked by fault injection")
@@ -252,19 +288,34 @@
             path = target.partition("?")[0]
             raise self._unreachable(f"{method.decode()} {path}: {error!r}") from None
         self._record_served(response.status not in _BUSY_STATUSES, started_s)
-        self._record_era(response.header(_ERA_HEADER), target)
-        return response
+        return response, self._record_era(response)
 
-    def _record_era(self, era: bytes | None, target: str) -> None:
-        if era == self._era:
-            return
-        log.warning(
-            "era of the store changed",
-            before=str(self._era),
-            era=str(era),
-            call=target.partition("?")[0],
-        )
-        self._era = era
+    def _record_era(self, response: HttpResponse) -> int:
+        """Return the era that a response names; that of the last one if it names none.
+
+        Raises:
+            GuavagapError: PLATFORM_UNREACHABLE when the response is from before a
+                restore that is already known.
+        """
+        text = response.header(_ERA_HEADER)
+        if text is None:
+            return self.era
+        try:
+            era = int(text)
+        except ValueError:
+            raise _malformed(f"invalid era {text!r}") from None
+        if era < self.era:
+            raise self._unreachable(f"response of era {era}, known is {self.era}")
+        if era > self.era > 0:
+            self.restore_count += era - self.era
+            log.warning(
+                "store restored from an older copy",
+                era=era,
+                era_before=self.era,
+                outcome="listing again, writing again what was lost",
+            )
+        self.era = era
+        return era
 
     def _record_served(self, is_served: bool, started_s: float) -> None:
         if is_served:
@@ -331,18 +382,28 @@
         raise _malformed(f"invalid value: {error!r}") from None
 
 
-def _decode_item(row: dict) -> StoreItem:
-    revision = _int_field(row, "revision")
+def _history_lost(after: StorePosition, why: str) -> GuavagapError:
+    return GuavagapError(ErrorKind.HISTORY_LOST, f"the changes after {after}: {why}")
+
+
+def _decode_position(value: dict, name: str, era: int) -> StorePosition:
+    """Return the position of a revision in a response that names an era."""
+    return StorePosition(era, _int_field(value, name))
+
+
+def _decode_item(row: dict, era: int) -> StoreItem:
+    position = _decode_position(row, "revision", era)
     # The store reports an absent key of a condition with revision 0 and no value.
-    value = _decode_value(row) if revision and row.get("value") is not None else b""
-    return StoreItem(str(row.get("key")), value, revision, row.get("lease") or 0)
+    is_absent = position == position.start_of_era or row.get("value") is None
+    value = b"" if is_absent else _decode_value(row)
+    return StoreItem(str(row.get("key")), value, position, row.get("lease") or 0)
 
 
-def _decode_change(row: dict) -> MirrorItem:
-    key, revision = str(row.get("key")), _int_field(row, "revision")
+def _decode_change(row: dict, era: int) -> MirrorItem:
+    key, position = str(row.get("key")), _decode_position(row, "revision", era)
     if row.get("tombstone"):
-        return MirrorItem(key, revision, None)
-    return MirrorItem(key, revision, _decode_value(row))
+        return MirrorItem(key, position, None)
+    return MirrorItem(key, position, _decode_value(row))
 
 
 @asynccontextmanager
--- a/guavagap/rollout_repositories.py
+++ b/guavagap/rollout_repositories.py
@@ -12,8 +12,14 @@
 from guavagap.key_value import KeyValueStore
 from guavagap.logs import get_logger
 from guavagap.metadata_store import MetadataStore, Write
-from guavagap.rollout_records import RolloutRecord, encode_record, record_key
+from guavagap.rollout_records import (
+    RolloutRecord,
+    encode_record,
+    is_record_of,
+    record_key,
+)
 from guavagap.rollouts import ORDERED_POLICY, SEQUENTIAL_POLICY, Decision, Policy
+from guavagap.store_positions import StorePosition
 
 __all__ = ["HeadRolloutRepository", "RecordRolloutRepository", "RolloutRepository"]
 
@@ -154,7 +160,7 @@
         record = self._node.configuration.records.get(service)
         if order is None:
             return False
-        return record is None or record.order_revision < order[0]
+        return record is None or not is_record_of(record, *order)
 
     async def start_pending(self, is_evaluator):
         for service in self.pending_rollout_services():
@@ -164,7 +170,7 @@
                 )
 
     async def _start_rollout(
-        self, service: str, revision: int, order: RolloutOrder
+        self, service: str, position: StorePosition, order: RolloutOrder
     ) -> None:
         previous = self._node.configuration.records.get(service)
         now_s = time.time()
@@ -190,10 +196,11 @@
             "reason": "ordered",
         }
         record = RolloutRecord(
-            revision,
+            position,
             previous.stable_version if previous else "",
             previous.rolled_back_versions if previous else (),
             rollout,
+            previous.sequence if previous else 0,
         )
         if await self._write_record(service, record):
             log.info("rollout begun", service=service, **rollout)
@@ -213,21 +220,27 @@
         If the response is lost, either the record appears in the mirror or the same
         decision is made again.
 
+        Args:
+            service: the service.
+            record: the record with the sequence of the one that it replaces.
+
         Returns:
             Whether the store has confirmed the write.
         """
-        key = record_key(service)
-        expected = {key: self._node.configuration.revision_of(key)}
+        record = record._replace(sequence=record.sequence + 1)
+        key, body = record_key(service), encode_record(record)
         status_key, status = self._encode_status(service, record.rollout)
-        writes = [Write(key, encode_record(record)), Write(status_key, status)]
+        writes = [Write(key, body), Write(status_key, status)]
+        condition = self._node.configuration.condition_of(key)
         try:
-            outcome = await self._store.transact(expected, writes)
+            outcome = await self._store.transact({key: condition}, writes)
         except GuavagapError as error:
             log.info("decision not written", service=service, why=str(error))
             return False
-        if outcome.revision is None:
+        if outcome.position is None:
             log.info("decision not written", service=service, why="conflicting write")
-        return outcome.revision is not None
+            return False
+        return True
 
 
 def _log_decision(service: str, rollout: Rollout, decision: Decision) -> None:
--- a/guavagap/store_relay.py
+++ b/guavagap/store_relay.py
@@ -3,7 +3,8 @@
 Two members of each failure domain watch the store and push its changes to the
 others, so the number of store calls does not depend on the size of the mesh. A
 member that no relay has contacted for ``RELAY_TIMEOUT_S`` watches the store itself.
-Several watchers at once do no harm: pushed changes are merged by revision.
+Several watchers at once do no harm: pushed changes are merged by position. After a
+restore of the store a watcher lists all items, since a watch cannot tell what was lost.
 """
 
 from typing import Callable
@@ -18,6 +19,7 @@
 from guavagap.logs import get_logger
 from guavagap.members import MemberTable
 from guavagap.metadata_store import Listing, MetadataStore
+from guavagap.store_positions import StorePosition
 from guavagap.tasks import TaskScope
 
 __all__ = ["StoreRelay"]
@@ -67,8 +69,7 @@
 
     Attributes:
         is_active: whether this node is one of its failure domain's relays.
-        platform_epoch: the latest revision read from the store, or None.
-        has_regressed: always False; the store's revisions only increase.
+        platform_epoch: the latest position read from the store, or None.
     """
 
     def __init__(
@@ -81,13 +82,12 @@
     ):
         self.is_active = False
         self.platform_epoch: int | None = None
-        self.has_regressed = False
         self._source = source
         self._table = table
         self._configuration = configuration
         self._disseminator = disseminator
         self._on_listing = on_listing
-        self._last_revision: int | None = None
+        self._read_position: StorePosition | None = None
         self._store_contact_at_s = float("-inf")
         self._is_store_unreachable = False
         self._joined_at_s: float | None = None
@@ -116,10 +116,15 @@
                 elapsed_s = steady_s() - started_s
                 await curio.sleep(max(0.0, backoff.next_s() - elapsed_s))
 
+    @property
+    def has_regressed(self) -> bool:
+        """Whether the store shows something older than what is in force."""
+        return bool(self._configuration.keys_behind)
+
     @property
     def has_listed(self) -> bool:
         """Whether this node has listed the whole store at least once."""
-        return self._last_revision is not None
+        return self._read_position is not None
 
     def _set_relay_role(self, is_active: bool) -> None:
         if is_active == self.is_active:
@@ -130,7 +135,7 @@
 
     def _has_live_relay(self) -> bool:
         age_s = steady_s() - self._disseminator.relay_seen_at_s
-        return age_s < RELAY_TIMEOUT_S and self._last_revision is not None
+        return age_s < RELAY_TIMEOUT_S and self._read_position is not None
 
     def _is_joining(self) -> bool:
         """Return whether the first listing is so recent that no watch is needed yet."""
@@ -144,18 +149,18 @@
         Raises:
             GuavagapError: PLATFORM_UNREACHABLE or PLATFORM_BUSY.
         """
-        if self._last_revision is None:
+        if self._read_position is None:
             listing = await self._source.list_prefix(ALL_KEYS_PREFIX)
             self._joined_at_s = steady_s()
         else:
             # Skip the changes that other nodes have pushed already.
-            after = max(self._last_revision, self._configuration.epoch)
+            after = max(self._read_position, self._configuration.position)
             try:
                 listing = await self._wait_for_changes(after)
             except GuavagapError as error:
                 if error.kind is not ErrorKind.HISTORY_LOST:
                     raise
-                log.info("store history lost, listing all items", after=after)
+                log.info("store history lost, listing all items", why=error.detail)
                 listing = await self._source.list_prefix(ALL_KEYS_PREFIX)
         self._record_store_contact(listing)
         self._on_listing(listing)
@@ -165,7 +170,7 @@
         elif listing.items:
             await curio.sleep(ENTRY_WATCH_PAUSE_S)
 
-    async def _wait_for_changes(self, after: int) -> Listing:
+    async def _wait_for_changes(self, after: StorePosition) -> Listing:
         """Watch for changes, or poll them while the store is unreachable."""
         if self._is_store_unreachable:
             return await self._source.watch_prefix(
@@ -176,12 +181,12 @@
         )
 
     def _record_store_contact(self, listing: Listing) -> None:
-        self._last_revision = listing.as_of
-        self.platform_epoch = listing.as_of
+        self._read_position = listing.as_of
+        self.platform_epoch = listing.as_of.epoch
         self._store_contact_at_s = steady_s()
         if self._is_store_unreachable:
             self._is_store_unreachable = False
-            log.info("store reachable again", revision=listing.as_of)
+            log.info("store reachable again", position=str(listing.as_of))
 
     def _record_store_failure(self, error: GuavagapError, started_s: float) -> None:
         is_first = not self._is_store_unreachable
@@ -198,18 +203,17 @@
 
     async def _mirror(self, listing: Listing) -> bool:
         """Apply and push changes of the configuration; return whether there are any."""
-        delta = self._configuration.make_delta(listing.items)
+        delta = self._configuration.apply_listing(listing)
         if delta is None:
             if listing.is_complete:
                 log.info(
                     "nothing newer in the store",
-                    revision=listing.as_of,
-                    epoch=self._configuration.epoch,
+                    read=str(listing.as_of),
+                    position=str(self._configuration.position),
                     items=len(listing.items),
                 )
             return False
-        if self._configuration.apply(delta):
-            await self._disseminator.push_as_root(delta)
+        await self._disseminator.push_as_root(delta)
         return True
 
     async def _send_relay_heartbeats(self) -> None:
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -4,9 +4,7 @@
 
 import curio
 
-from guavagap.metadata_store import MirrorItem, StoreItem
-
-__all__ = ["FakeMetadataStore"]
+__all__ = ["Change", "FakeMetadataStore", "StoredItem"]
 
 MIN_TTL_S = 0.05
 MAX_TTL_S = 600.0
@@ -14,12 +12,29 @@
 COPY_RETENTION_S = 60.0
 
 
+class StoredItem(NamedTuple):
+    """A key as currently stored."""
+
+    key: str
+    value: bytes
+    revision: int
+    lease_id: int
+
+
+class Change(NamedTuple):
+    """A change of a key; ``body`` is None when the key was removed."""
+
+    key: str
+    revision: int
+    body: bytes | None
+
+
 class _Copy(NamedTuple):
     """The state of the store after one change."""
 
     at_s: float
     revision: int
-    items: dict[str, StoreItem]
+    items: dict[str, StoredItem]
     created_revisions: dict[str, int]
 
 
@@ -40,20 +55,20 @@
         self.era = 1
         self.history_retention_s = history_retention_s
         self._clock = clock
-        self._items: dict[str, StoreItem] = {}
+        self._items: dict[str, StoredItem] = {}
         self._created_revisions: dict[str, int] = {}
         self._leases: dict[int, tuple[float, float]] = {}
-        self._history: list[tuple[float, MirrorItem]] = []
+        self._history: list[tuple[float, Change]] = []
         self._compacted_revision = 0
         self._changed = curio.Condition()
         self._copies = [_Copy(clock(), self.revision, {}, {})]
 
-    def get(self, key: str) -> StoreItem | None:
+    def get(self, key: str) -> StoredItem | None:
         """Return the item of a key, None if there is none."""
         self._expire()
         return self._items.get(key)
 
-    def list_prefix(self, prefix: str, after: str, limit: int) -> list[StoreItem]:
+    def list_prefix(self, prefix: str, after: str, limit: int) -> list[StoredItem]:
         """Return up to ``limit`` items with a prefix after a key, ordered by key."""
         self._expire()
         keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
@@ -63,7 +78,7 @@
         """Return the revision at which a key was created, 0 if it does not exist."""
         return self._created_revisions.get(key, 0)
 
-    def changes_since(self, prefix: str, after: int) -> list[MirrorItem] | None:
+    def changes_since(self, prefix: str, after: int) -> list[Change] | None:
         """Return the changes after a revision, None if some were compacted."""
         self._expire()
         if after < self._compacted_revision or after > self.revision:
@@ -76,7 +91,7 @@
 
     async def wait_for_changes(
         self, prefix: str, after: int, wait_s: float
-    ) -> list[MirrorItem] | None:
+    ) -> list[Change] | None:
         """Return the changes after a revision, waiting up to ``wait_s`` for one."""
         deadline_s = self._clock() + wait_s
         while True:
@@ -117,8 +132,8 @@
         self.revision += 1
         for key, value, lease_id in writes:
             self._created_revisions.setdefault(key, self.revision)
-            self._items[key] = StoreItem(key, value, self.revision, lease_id)
-            self._append_history(MirrorItem(key, self.revision, value))
+            self._items[key] = StoredItem(key, value, self.revision, lease_id)
+            self._append_history(Change(key, self.revision, value))
         for key in removed:
             self._remove(key)
         await self.notify_watches()
@@ -234,9 +249,9 @@
     def _remove(self, key: str) -> None:
         if self._items.pop(key, None) is not None:
             self._created_revisions.pop(key, None)
-            self._append_history(MirrorItem(key, self.revision, None))
+            self._append_history(Change(key, self.revision, None))
 
-    def _append_history(self, item: MirrorItem) -> None:
+    def _append_history(self, item: Change) -> None:
         self._history.append((self._clock(), item))
 
     async def notify_watches(self) -> None:
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -9,6 +9,7 @@
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.metadata_store import MirrorItem
 from guavagap.platform.decode import decode_item, decode_report, encode_status
+from guavagap.store_positions import StorePosition
 
 CONFIGURATION = {
     "version": "0000001c",
@@ -88,7 +89,7 @@
 
 
 def item(value, key="op/config") -> MirrorItem:
-    return MirrorItem(key, 5, json.dumps(value).encode())
+    return MirrorItem(key, StorePosition(1, 5), json.dumps(value).encode())
 
 
 class ConfigurationTests(testtools.TestCase):
@@ -131,7 +132,7 @@
     def test_malformed_bytes_are_refused_with_their_error_kind(self, body):
         for key in ("op/config", "op/rollout/s1"):
             try:
-                decode_item(MirrorItem(key, 1, body))
+                decode_item(MirrorItem(key, StorePosition(1, 1), body))
             except GuavagapError as error:
                 self.assertEqual(ErrorKind.CONFIGURATION_REJECTED, error.kind)
 
@@ -142,7 +143,9 @@
 
     def test_other_keys_and_removed_items_are_ignored(self):
         self.assertIsNone(decode_item(item({}, "op/other")))
-        self.assertIsNone(decode_item(MirrorItem("op/config", 1, None)))
+        self.assertIsNone(
+            decode_item(MirrorItem("op/config", StorePosition(1, 1), None))
+        )
 
 
 class ReportTests(testtools.TestCase):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,11 +6,17 @@
 from guavagap.errors import ErrorKind
 from guavagap.metadata_store import Write
 from guavagap.platform.store import open_store_client
+from guavagap.store_positions import StorePosition
 from standins.fleet import allocate_ports
 from standins.platform_server import PAGE_ITEMS, open_platform_server
 from tests.cases import AsyncTestCase
 
 
+def position(server) -> StorePosition:
+    """Return the current position of a fake store."""
+    return StorePosition(server.store.era, server.store.revision)
+
+
 class StoreClientTests(AsyncTestCase):
     def check(self, function):
         self.run_async(self.with_client, function)
@@ -28,13 +34,13 @@
                 await server.store.transact({}, [(f"a/{number:04}", b"1", 0)], [])
             listing = await client.list_prefix("a/")
             self.assertEqual(count, len(listing.items))
-            self.assertEqual(server.store.revision, listing.as_of)
+            self.assertEqual(position(server), listing.as_of)
 
         self.check(case)
 
     def test_watch_returns_changes_and_deletions_in_order(self):
         async def case(server, client):
-            start = server.store.revision
+            start = position(server)
             await client.transact({}, [Write("a", b"1")])
             await client.transact({}, [], ["a"])
             listing = await client.watch_prefix("", start, 5)
@@ -54,16 +60,19 @@
             await client.transact({}, [Write("a", b"1")])
             server.store.compact()
             await self.assert_error_kind(
-                ErrorKind.HISTORY_LOST, client.watch_prefix("", 1, 1)
+                ErrorKind.HISTORY_LOST, client.watch_prefix("", StorePosition(1, 1), 1)
             )
 
         self.check(case)
 
     def test_failed_condition_returns_the_current_items(self):
         async def case(server, client):
-            await client.transact({"a": 0}, [Write("a", b"1")])
-            outcome = await client.transact({"a": 0, "b": 0}, [Write("a", b"2")])
-            self.assertIsNone(outcome.revision)
+            absent = StorePosition(1, 0)
+            await client.transact({"a": absent}, [Write("a", b"1")])
+            outcome = await client.transact(
+                {"a": absent, "b": absent}, [Write("a", b"2")]
+            )
+            self.assertIsNone(outcome.position)
             self.assertEqual(
                 [b"1", b""], [item.value for item in outcome.current_items]
             )
@@ -74,9 +83,9 @@
         async def case(server, client):
             lease = await client.grant_lease(30)
             await client.transact({}, [Write("a", b"1", lease.lease_id)])
-            self.assertTrue(await client.renew_lease(lease.lease_id))
+            self.assertTrue(await client.renew_lease(lease))
             await client.revoke_lease(lease.lease_id)
-            self.assertFalse(await client.renew_lease(lease.lease_id))
+            self.assertFalse(await client.renew_lease(lease))
             item, _ = await client.get("a")
             self.assertIsNone(item)
             await self.assert_error_kind(
@@ -86,6 +95,128 @@
 
         self.check(case)
 
+    def test_watch_from_before_a_restore_is_reported_as_lost_history(self):
+        async def case(server, client):
+            await client.transact({}, [Write("a", b"1")])
+            before = position(server)
+            await client.transact({}, [Write("a", b"2")])
+            await server.restore(60.0)
+            # The revision is given out again, so the store alone reports no error.
+            await server.store.transact({}, [("b", b"1", 0)], [])
+            await self.assert_error_kind(
+                ErrorKind.HISTORY_LOST, client.watch_prefix("", before, 1)
+            )
+            self.assertEqual(2, client.era)
+            calls = client.call_counts["watch"]
+            await self.assert_error_kind(
+                ErrorKind.HISTORY_LOST, client.watch_prefix("", before, 1)
+            )
+            self.assertEqual(calls, client.call_counts["watch"])
+
+        self.check(case)
+
+    def test_refusal_names_the_era_too(self):
+        async def case(server, client):
+            await client.get("a")
+            await server.restore(60.0)
+            server.knobs["busy_status"] = 503
+            await self.assert_error_kind(ErrorKind.PLATFORM_BUSY, client.get("a"))
+            self.assertEqual(2, client.era)
+
+        self.check(case)
+
+    def test_response_from_before_a_known_restore_is_no_response(self):
+        async def case(server, client):
+            await server.restore(60.0)
+            await client.get("a")
+            server.store.era = 1
+            await self.assert_error_kind(
+                ErrorKind.PLATFORM_UNREACHABLE, client.get("a")
+            )
+            self.assertEqual(2, client.era)
+
+        self.check(case)
+
+    def test_condition_of_before_a_restore_never_holds_for_other_content(self):
+        async def case(server, client):
+            outcome = await client.transact({}, [Write("a", b"1")])
+            await server.restore(60.0)
+            await server.store.transact({}, [("a", b"other", 0)], [])
+            self.assertEqual(outcome.position.revision, server.store.revision)
+            # The client has not seen the restore yet: the write is done, and the
+            # caller is told that its outcome is unknown.
+            await self.assert_error_kind(
+                ErrorKind.PLATFORM_UNREACHABLE,
+                client.transact({"a": outcome.position}, [Write("a", b"2")]),
+            )
+            outcome = await client.transact({"a": outcome.position}, [Write("a", b"3")])
+            self.assertIsNone(outcome.position)
+            self.assertEqual(b"2", server.store.get("a").value)
+
+        self.check(case)
+
+    def test_lease_of_before_a_restore_is_lost_though_its_identifier_is_used(self):
+        async def case(server, client):
+            lease = await client.grant_lease(30)
+            await server.restore(60.0)
+            other_id, _ = server.store.grant_lease(30)
+            self.assertEqual(lease.lease_id, other_id)
+            self.assertFalse(await client.renew_lease(lease))
+
+        self.check(case)
+
+    def test_listing_during_a_restore_is_begun_again(self):
+        async def case(server, client):
+            for number in range(PAGE_ITEMS + 20):
+                await server.store.transact({}, [(f"a/{number:04}", b"1", 0)], [])
+            list_page = server.store.list_prefix
+
+            def restore_after_a_page(*args):
+                page = list_page(*args)
+                server.store.list_prefix = list_page
+                server.store.era += 1
+                return page[:-1] + [page[-1]._replace(key="lost")]
+
+            await client.get("a")
+            listing = await client.list_prefix("a/")
+            server.store.list_prefix = restore_after_a_page
+            again = await client.list_prefix("a/")
+            self.assertEqual(len(listing.items), len(again.items))
+            self.assertEqual(2, again.as_of.era)
+            self.assertNotIn("lost", {item.key for item in again.items})
+
+        self.check(case)
+
+    def test_change_during_a_listing_is_left_to_the_watch(self):
+        async def case(server, client):
+            for number in range(PAGE_ITEMS + 20):
+                await server.store.transact({}, [(f"a/{number:04}", b"1", 0)], [])
+            list_page = server.store.list_prefix
+
+            async def change(target):
+                await server.store.transact({}, [("a/0000", b"2", 0)], [])
+                await server.store.transact({}, [("a/0510", b"2", 0)], [])
+
+            call = client._call
+
+            async def change_after_a_page(method, target, *args, **kwargs):
+                result = await call(method, target, *args, **kwargs)
+                if "after" not in target:
+                    await change(target)
+                return result
+
+            client._call = change_after_a_page
+            listing = await client.list_prefix("a/")
+            client._call = call
+            self.assertEqual(list_page, server.store.list_prefix)
+            self.assertLess(listing.as_of, position(server))
+            changes = await client.watch_prefix("a/", listing.as_of, 1)
+            self.assertEqual(["a/0000", "a/0510"], [item.key for item in changes.items])
+            newest = max(item.position for item in listing.items)
+            self.assertLessEqual(newest, listing.as_of)
+
+        self.check(case)
+
     def test_busy_malformed_and_outage_responses_raise_their_error_kinds(self):
         async def case(server, client):
             for status in (429, 503):
--- a/tests/test_operator_deployment.py
+++ b/tests/test_operator_deployment.py
@@ -1,107 +1,45 @@
-"""Tests of how a node obtains the mesh key and maintains its entry."""
+"""Tests of how a node maintains its entry in the metadata store."""
 
-from collections import Counter
-from contextlib import AsyncExitStack
 from types import SimpleNamespace
 
 import curio
 import testtools
 
 from guavagap.addresses import Address
+from guavagap.mesh_keys import StoredKey
 from guavagap.metadata_store import (
     Lease,
     Listing,
+    MirrorDelta,
     MirrorItem,
-    StoreItem,
     TransactionOutcome,
 )
 from guavagap.node_entries import ENTRY_HOLDERS
-from guavagap.operator_deployment import (
-    ENTRY_DELAY_S,
-    OperatorDeployment,
-    StoredKey,
-    obtain_mesh_key,
-)
-from guavagap.platform.store import open_store_client
-from standins.fleet import allocate_ports
-from standins.platform_server import open_platform_server
-from tests.cases import AsyncTestCase
+from guavagap.operator_deployment import ENTRY_DELAY_S, OperatorDeployment
+from guavagap.store_positions import StorePosition
+
+
+def at(revision: int, era: int = 1) -> StorePosition:
+    return StorePosition(era, revision)
 
 
 class _Store:
     """A store that accepts every call."""
 
+    era = 1
+
     def __init__(self):
         self.written = curio.Event()
 
     async def grant_lease(self, ttl_s):
-        return Lease(1, ttl_s)
+        return Lease(1, ttl_s, self.era)
 
-    async def renew_lease(self, lease_id):
+    async def renew_lease(self, lease):
         return True
 
     async def transact(self, expected, writes):
         await self.written.set()
-        return TransactionOutcome(1, [])
-
-
-class MeshKeyTests(AsyncTestCase):
-    def test_nodes_share_one_key_and_later_nodes_use_stale_reads_only(self):
-        async def case():
-            address, mesh_address = (Address("127.0.0.1", p) for p in allocate_ports(2))
-            async with open_platform_server(address):
-                async with open_store_client(address) as first:
-                    key = await obtain_mesh_key(first, mesh_address)
-                async with open_store_client(address) as second:
-                    stored = await obtain_mesh_key(second, mesh_address)
-                    self.assertEqual(key.key_bytes, stored.key_bytes)
-                    self.assertTrue(key.is_created)
-                    self.assertFalse(stored.is_created)
-                    self.assertEqual({"stale_get": 1}, second.call_counts)
-
-        self.run_async(case)
-
-    def test_few_of_many_nodes_that_start_at_once_create_the_key(self):
-        node_count = 40
-
-        async def case():
-            address, *mesh_addresses = (
-                Address("127.0.0.1", port) for port in allocate_ports(node_count + 1)
-            )
-            async with AsyncExitStack() as stack:
-                await stack.enter_async_context(open_platform_server(address))
-                clients = [
-                    await stack.enter_async_context(open_store_client(address))
-                    for _ in mesh_addresses
-                ]
-                async with curio.TaskGroup() as group:
-                    for client, mesh_address in zip(clients, mesh_addresses):
-                        await group.spawn(obtain_mesh_key, client, mesh_address)
-                self.assertEqual(1, len({key.key_bytes for key in group.results}))
-                return sum((client.call_counts for client in clients), Counter())
-
-        counts = self.run_async(case)
-        self.assertEqual({"stale_get", "transact"}, set(counts))
-        self.assertLess(counts["transact"], node_count / 2)
-
-    def test_conflict_without_the_current_key_is_not_taken_for_a_key(self):
-        key = StoreItem("mesh/key", b"k" * 32, 7, 0)
-        store = SimpleNamespace(conflicts=[[], [key._replace(value=b"")], [key]])
-
-        async def get(key, is_stale_allowed):
-            return None, 1
-
-        async def transact(expected, writes):
-            return TransactionOutcome(None, store.conflicts.pop(0))
-
-        store.get, store.transact = get, transact
-
-        async def case():
-            (port,) = allocate_ports(1)
-            return await obtain_mesh_key(store, Address("127.0.0.1", port))
-
-        self.assertEqual(key.value, self.run_async(case).key_bytes)
-        self.assertEqual([], store.conflicts)
+        return TransactionOutcome(at(1), [])
 
 
 class EntryTests(testtools.TestCase):
@@ -110,13 +48,13 @@
             store = _Store()
 
             async def case():
-                deployment._on_listing(Listing([], 0))
+                deployment._on_listing(Listing([], at(0)))
                 task = await curio.spawn(deployment._maintain_entry)
                 await store.written.wait()
                 store.written.clear()
-                deployment._on_listing(Listing([], 1))
+                deployment._on_listing(Listing([], at(1)))
                 self.assertFalse(deployment._is_entry_lost)
-                deployment._on_listing(Listing(items, 2, is_complete))
+                deployment._on_listing(Listing(items, at(2), is_complete))
                 self.assertTrue(deployment._is_entry_lost)
                 await curio.timeout_after(30, store.written.wait)
                 await task.cancel()
@@ -138,9 +76,35 @@
         )
         deployment._node = SimpleNamespace(table=table)
         deployment._is_first_holder = False
-        deployment._on_listing(Listing([], 1))
+        deployment._on_listing(Listing([], at(1)))
         return deployment
 
+    def test_entry_and_lease_are_renewed_after_a_restore_of_the_store(self):
+        """The store may give the identifier of the lease to another node."""
+        for learns_from_call in (True, False):
+            store, granted_eras = _Store(), []
+
+            async def grant_lease(ttl_s):
+                granted_eras.append(store.era)
+                return Lease(1, ttl_s, store.era)
+
+            async def case():
+                task = await curio.spawn(deployment._maintain_entry)
+                await store.written.wait()
+                store.written.clear()
+                if learns_from_call:
+                    store.era = 2
+                else:
+                    deployment.configuration.apply(MirrorDelta(0, at(1, 2).epoch, ()))
+                    store.era = 2
+                await curio.timeout_after(2.0, store.written.wait)
+                await task.cancel()
+
+            store.grant_lease = grant_lease
+            deployment = self.make_deployment(store)
+            curio.run(case)
+            self.assertEqual([1, 2], granted_eras)
+
     def test_member_that_becomes_one_of_the_first_writes_its_entry(self):
         store = _Store()
         deployment = self.make_deployment(store, ENTRY_HOLDERS, has_peer=True)
@@ -156,4 +120,4 @@
         curio.run(case)
 
     def tombstone(self) -> MirrorItem:
-        return MirrorItem("mesh/node/a/n1", 2, None)
+        return MirrorItem("mesh/node/a/n1", at(2), None)
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -11,6 +11,7 @@
 from guavagap.declared_configuration import DeclaredConfiguration
 from guavagap.metadata_store import Listing, MirrorItem
 from guavagap.platform.store import open_store_client
+from guavagap.store_positions import BEGINNING, StorePosition
 from guavagap.store_relay import StoreRelay
 from guavagap.tasks import open_task_scope
 from standins.fleet import allocate_ports
@@ -32,20 +33,24 @@
         self.changes: list[MirrorItem] = []
         self.watches = 0
 
+    @property
+    def position(self) -> StorePosition:
+        return StorePosition(1, self.revision)
+
     def change(self) -> None:
         self.revision += 1
         key = f"mesh/node/n{self.revision}"
-        self.changes.append(MirrorItem(key, self.revision, b""))
+        self.changes.append(MirrorItem(key, self.position, b""))
 
     async def list_prefix(self, prefix):
-        return Listing([], self.revision)
+        return Listing([], self.position)
 
     async def watch_prefix(self, prefix, after, wait_s, response_timeout_s):
         self.watches += 1
         while not self.changes:
             await curio.sleep(0)
         drained, self.changes = self.changes, []
-        return Listing(drained, self.revision)
+        return Listing(drained, self.position)
 
 
 async def _ignore(*args) -> None:
@@ -58,7 +63,9 @@
 
         async def case():
             store = _Store()
-            configuration = SimpleNamespace(epoch=0, make_delta=lambda items: None)
+            configuration = SimpleNamespace(
+                position=BEGINNING, apply_listing=lambda listing: None
+            )
             relay = StoreRelay(
                 store,
                 None,
@@ -87,7 +94,9 @@
         async def case():
             store, scope = _Store(), SimpleNamespace(spawn_supervised=_ignore)
             table = SimpleNamespace(local_domain_rank=lambda: 0, publish=lambda **_: 0)
-            configuration = SimpleNamespace(epoch=0, make_delta=lambda items: None)
+            configuration = SimpleNamespace(
+                position=BEGINNING, apply_listing=lambda listing: None
+            )
             relay = StoreRelay(store, table, configuration, None, lambda listing: None)
             task = await curio.spawn(relay.run, scope)
             while not relay.has_listed:
@@ -168,7 +177,7 @@
         """Write a key and return the time until it is mirrored."""
         started_s = clock()
         revision = await server.store.transact({}, [("op/config", b"{}", 0)], [])
-        while configuration.epoch < revision:
+        while configuration.position.revision < revision:
             await curio.sleep(0.01)
         return clock() - started_s
 
