Exchange all content between nodes that differ at one epoch

A node that starts after a restore, before the operator has written again, has only the copy to read. Its neighbours know a newer version, and both are at the same position of the store, so neither fetched anything and the difference was reported as a conflict.

The fix: mirrors can be merged in any order, so a node that sees another digest at its own epoch fetches all that the other node has, which does the same. Across failure domains, two members of each do so. Heads of deployments by documents cannot be merged and stay a conflict: their epoch is in the head, which is replaced as a whole.

--- a/guavagap/dissemination.py
+++ b/guavagap/dissemination.py
@@ -5,6 +5,9 @@
 delta from the sender. It then gossips the delta to a few random members of its
 failure domain, so a single contact brings the whole domain up to date. Nothing is
 fetched across failure domains while the local relay is live.
+
+Two nodes at one epoch may know different content of before a restore of the platform's
+store; each then fetches all that the other one has.
 """
 
 import random
@@ -16,6 +19,7 @@
 from guavagap.backoff import Backoff
 from guavagap.clock import steady_s
 from guavagap.configuration import Configuration
+from guavagap.content_exchange import ExchangeSchedule
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.head import Delta
 from guavagap.links import LinkPool
@@ -31,6 +35,9 @@
 
 FAN_OUT = 4
 MAX_ORDERS = 8
+# Members of a failure domain that compare their content with that of other failure
+# domains, where traffic is billed.
+REMOTE_EXCHANGES_PER_DOMAIN = 2
 GOSSIP_FAN_OUT = 2
 PUSH_TIMEOUT_S = 2.0
 # A relay that has sent a push or heartbeat within this time is live: it delivers what
@@ -80,6 +87,7 @@
         conflicting_epochs: epochs for which another node has different content.
         counts: transfers of deltas by outcome.
         relay_seen_at_s: monotonic time of the latest push or heartbeat of a relay.
+        exchanges: when content is exchanged with a node at the same epoch.
     """
 
     def __init__(
@@ -93,6 +101,7 @@
         self.conflicting_epochs: set[int] = set()
         self.counts: Counter[str] = Counter()
         self.relay_seen_at_s = float("-inf")
+        self.exchanges = ExchangeSchedule()
         self._configuration = configuration
         self._table = table
         self._links = links
@@ -107,8 +116,8 @@
         """Compare a node's epoch with the local one and fetch it if it is higher."""
         self.highest_epoch_seen = max(self.highest_epoch_seen, epoch)
         local_epoch = self._configuration.epoch
-        if epoch == local_epoch and head_digest != self.short_digest():
-            self._record_conflict(node_id, epoch)
+        if epoch == local_epoch:
+            await self._compare_content(node_id, epoch, head_digest)
         if epoch <= local_epoch or self._is_fetching:
             return
         if self._table.get(node_id) is None:
@@ -121,6 +130,41 @@
             self._is_fetch_delayed = True
             await self._scope.spawn(self._fetch_after_grace, node_id, epoch)
 
+    async def _compare_content(
+        self, node_id: str, epoch: int, head_digest: int
+    ) -> None:
+        """Exchange content with a node at the local epoch if it has other content."""
+        if head_digest == self.short_digest():
+            self.exchanges.record_match(node_id)
+            return
+        if not self._configuration.is_mergeable:
+            self._record_conflict(node_id, epoch)
+            return
+        if self._is_fetching or not self._is_exchange_partner(node_id):
+            return
+        if self.exchanges.is_due(node_id):
+            self._is_fetching = True
+            await self._scope.spawn(self._exchange_content, node_id)
+
+    def _is_exchange_partner(self, node_id: str) -> bool:
+        if self._table.get(node_id) is None:
+            return False
+        if self._is_in_local_domain(node_id) or not self._has_live_relay():
+            return True
+        return self._table.local_domain_rank() < REMOTE_EXCHANGES_PER_DOMAIN
+
+    async def _exchange_content(self, node_id: str) -> None:
+        """Fetch all content of a node; it does the same with that of the local one."""
+        try:
+            reply = await self._request_delta(node_id, 0)
+            if reply is None or reply.is_busy:
+                return
+            is_changed = await self._apply_reply(reply)
+            self.exchanges.record_exchange(is_changed)
+            log.info("content exchanged", peer=node_id, is_changed=is_changed)
+        finally:
+            self._is_fetching = False
+
     def _has_live_relay(self) -> bool:
         return steady_s() - self.relay_seen_at_s < RELAY_TIMEOUT_S
 
@@ -156,7 +200,9 @@
         candidates = [node_id]
         try:
             for _ in range(MAX_FETCH_ATTEMPTS):
-                reply = await self._request_delta(random.choice(candidates))
+                reply = await self._request_delta(
+                    random.choice(candidates), self._configuration.epoch
+                )
                 if reply is None:
                     candidates = self._gossip_targets() or candidates
                 elif reply.is_busy:
@@ -169,21 +215,24 @@
         finally:
             self._is_fetching = False
 
-    async def _request_delta(self, node_id: str) -> DeltaReply | None:
+    async def _request_delta(self, node_id: str, base_epoch: int) -> DeltaReply | None:
         try:
             link = await self._links.get(node_id)
-            return await link.call(DeltaRequest(0, self._configuration.epoch))
+            return await link.call(DeltaRequest(0, base_epoch))
         except GuavagapError as error:
             log.info("fetch failed", peer=node_id, why=str(error))
             return None
 
-    async def _apply_reply(self, reply: DeltaReply) -> None:
+    async def _apply_reply(self, reply: DeltaReply) -> bool:
+        """Apply and gossip a fetched delta; return whether it has changed anything."""
         raw = decompress_delta(reply.compressed, reply.raw_bytes)
         delta = self._configuration.decode_delta(raw)
         if not self._configuration.apply(delta):
-            return
+            return False
         self.counts["fetched"] += 1
+        self.exchanges.record_received()
         await self._push_delta(self._gossip_targets(), delta, root_id="")
+        return True
 
     def _gossip_targets(self) -> list[str]:
         members = [
@@ -265,7 +314,7 @@
         if not message.raw_bytes:
             await self._on_heartbeat(sender_id, message)
             return
-        if message.epoch <= self._configuration.epoch:
+        if self._is_duplicate(message):
             self.counts["push_duplicate"] += 1
             return
         raw = decompress_delta(message.compressed, message.raw_bytes)
@@ -277,6 +326,7 @@
         if not self._configuration.apply(delta):
             return
         self.counts["pushed"] += 1
+        self.exchanges.record_received()
         if message.root_id:
             targets = self._children(message.root_id, delta.epoch)
         else:
@@ -284,6 +334,14 @@
         for node_id in targets:
             await self._scope.spawn(self._push_to_peer, node_id, message)
 
+    def _is_duplicate(self, message: DeltaPush) -> bool:
+        """Return whether a push contains nothing new; exchanged content may do."""
+        local_epoch = self._configuration.epoch
+        is_exchange = not message.root_id and not message.base_epoch
+        if is_exchange and self._configuration.is_mergeable:
+            return message.epoch < local_epoch
+        return message.epoch <= local_epoch
+
     async def build_reply(self, request: DeltaRequest) -> DeltaReply:
         """Build the reply to a request: a delta, or a redirect when overloaded."""
         delta = self._configuration.delta_since(request.base_epoch)
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -12,10 +12,12 @@
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.members import MemberTable
 from guavagap.messages import Member, MemberState
+from guavagap.rendezvous import rendezvous_order
 from guavagap.tasks import open_task_scope
 from tests.cases import AsyncTestCase
 
 DIGEST = "0" * 32
+FIRST_MEMBER = rendezvous_order("da", ["a1", "a2", "a3"], str)[0]
 
 
 def make_row(node_id: str, failure_domain: str) -> Member:
@@ -26,6 +28,7 @@
 class _Configuration:
     epoch = 5
     head_digest = DIGEST
+    is_mergeable = False
 
 
 class _Link:
@@ -106,6 +109,48 @@
         self.assertIn("a2", self.contacted_nodes("b1", has_live_relay=False)[1])
 
 
+class ContentTests(AsyncTestCase):
+    """Nodes at one epoch that have different content."""
+
+    def compare(self, is_mergeable: bool, node_id: str, head_digest: int):
+        """Report content at the epoch of the last member; return what it does."""
+
+        async def case():
+            members = rendezvous_order("da", ["a1", "a2", "a3"], str)
+            table = MemberTable(make_row(members[-1], "da"), steady_s)
+            for peer_id in members[:-1]:
+                table.merge(make_row(peer_id, "da"))
+            table.merge(make_row("b1", "db"))
+            configuration, links = _Configuration(), _Links()
+            configuration.is_mergeable = is_mergeable
+            async with open_task_scope("test") as scope:
+                disseminator = Disseminator(configuration, table, links, scope)
+                disseminator.relay_seen_at_s = steady_s() + 60
+                await disseminator.on_epoch_seen(node_id, 5, head_digest)
+                await curio.sleep(0)
+                return disseminator, list(links.requested)
+
+        return self.run_async(case)
+
+    def test_content_that_cannot_be_merged_is_a_conflict(self):
+        disseminator, requested = self.compare(False, FIRST_MEMBER, 9)
+        self.assertEqual({5}, disseminator.conflicting_epochs)
+        self.assertEqual([], requested)
+
+    def test_content_of_before_a_restore_is_fetched_and_no_conflict(self):
+        disseminator, requested = self.compare(True, FIRST_MEMBER, 9)
+        self.assertEqual(set(), disseminator.conflicting_epochs)
+        self.assertEqual([FIRST_MEMBER], requested)
+
+    def test_equal_content_is_not_fetched(self):
+        disseminator, requested = self.compare(True, FIRST_MEMBER, 0)
+        self.assertTrue(disseminator.exchanges.has_matched)
+        self.assertEqual([], requested)
+
+    def test_content_of_another_failure_domain_is_left_to_the_first_members(self):
+        self.assertEqual([], self.compare(True, "b1", 9)[1])
+
+
 class PushTests(AsyncTestCase):
     def test_children_of_an_unreachable_member_are_pushed_to(self):
         members = [f"a{number}" for number in range(1, 12)]
