Write rollout decisions again that a restore of the store has lost

The fix: each record has a number of decisions, so the nodes keep the latest one in force, and the evaluator of the service writes it again, with the state for the operator, on condition of what the copy shows. A write that the store has confirmed and that no watch has returned is kept by the node that made it, and put in force after a second, or at once after a restore.

--- a/guavagap/evaluator.py
+++ b/guavagap/evaluator.py
@@ -54,6 +54,7 @@
         """Send evidence and evaluate rollouts until cancelled."""
         while True:
             await curio.sleep(self._repository.interval_s)
+            await self._repository.restore_lost(self._is_evaluator)
             await self._repository.start_pending(self._is_evaluator)
             active_rollouts = self._repository.active_rollouts()
             await self._publish_store_loss(
--- a/guavagap/rollout_repositories.py
+++ b/guavagap/rollout_repositories.py
@@ -2,8 +2,9 @@
 
 import time
 from abc import ABC, abstractmethod
-from typing import Callable
+from typing import Callable, NamedTuple
 
+from guavagap.clock import steady_s
 from guavagap.commits import make_change, swap_head
 from guavagap.declarations import RolloutOrder
 from guavagap.errors import GuavagapError
@@ -11,12 +12,13 @@
 from guavagap.head import Entry, Head, Rollout
 from guavagap.key_value import KeyValueStore
 from guavagap.logs import get_logger
-from guavagap.metadata_store import MetadataStore, Write
+from guavagap.metadata_store import MetadataStore, MirrorItem, Write
 from guavagap.rollout_records import (
     RolloutRecord,
     encode_record,
     is_record_of,
     record_key,
+    record_rank,
 )
 from guavagap.rollouts import ORDERED_POLICY, SEQUENTIAL_POLICY, Decision, Policy
 from guavagap.store_positions import StorePosition
@@ -30,6 +32,17 @@
 ORDERED_INTERVAL_S = 0.3
 # Backend servers of ordered rollouts are warm after a few requests each.
 ORDERED_COLD_REQUESTS = 5
+# A confirmed write is usually read back within tenths of a second. One that is not may
+# have been lost by a restore of the store before any node has read it.
+CONFIRMED_WRITE_GRACE_S = 1.0
+
+
+class _ConfirmedWrite(NamedTuple):
+    """A record that the store has confirmed, and the steady time of that."""
+
+    record: RolloutRecord
+    item: MirrorItem
+    confirmed_at_s: float
 
 
 class RolloutRepository(ABC):
@@ -59,6 +72,9 @@
         """Return the services whose rollouts were ordered but have not started."""
         return []
 
+    async def restore_lost(self, is_evaluator: Callable[[str], bool]) -> None:
+        """Write decisions again that the store has confirmed and lost since."""
+
     async def start_pending(self, is_evaluator: Callable[[str], bool]) -> None:
         """Start the pending rollouts that this node evaluates."""
 
@@ -136,6 +152,7 @@
         self._node = node
         self._store = store
         self._encode_status = encode_status
+        self._confirmed: dict[str, _ConfirmedWrite] = {}
 
     @property
     def is_store_lost(self):
@@ -162,6 +179,49 @@
             return False
         return record is None or not is_record_of(record, *order)
 
+    async def restore_lost(self, is_evaluator):
+        self._keep_confirmed_writes()
+        if self.is_store_lost:
+            return
+        configuration = self._node.configuration
+        for service, record in list(configuration.records.items()):
+            if not configuration.is_behind(record_key(service)):
+                continue
+            if is_evaluator(service) and not self._is_pending(service):
+                await self._write_again(service, record)
+
+    def _keep_confirmed_writes(self) -> None:
+        """Put confirmed writes in force that were not read back from the store."""
+        configuration = self._node.configuration
+        for service, write in list(self._confirmed.items()):
+            held = configuration.records.get(service)
+            age_s = steady_s() - write.confirmed_at_s
+            is_restored = configuration.position.era > write.item.position.era
+            if held is not None and record_rank(held) >= record_rank(write.record):
+                del self._confirmed[service]
+            elif is_restored or age_s > CONFIRMED_WRITE_GRACE_S:
+                log.warning(
+                    "confirmed decision not read back, kept in force",
+                    service=service,
+                    sequence=write.record.sequence,
+                    position=str(write.item.position),
+                )
+                configuration.apply_write(write.item)
+
+    async def _write_again(self, service: str, record: RolloutRecord) -> None:
+        """Write a record that a restore of the store has lost."""
+        order = self._node.configuration.orders.get(service)
+        if order is not None:
+            position = max(record.order_position, order[0])
+            record = record._replace(order_position=position)
+        if await self._write_record(service, record):
+            log.warning(
+                "lost decision written again",
+                service=service,
+                version=record.rollout["to_version"],
+                state=record.rollout["state"],
+            )
+
     async def start_pending(self, is_evaluator):
         for service in self.pending_rollout_services():
             if is_evaluator(service):
@@ -240,6 +300,8 @@
         if outcome.position is None:
             log.info("decision not written", service=service, why="conflicting write")
             return False
+        item = MirrorItem(key, outcome.position, body)
+        self._confirmed[service] = _ConfirmedWrite(record, item, steady_s())
         return True
 
 
--- a/tests/test_rollout_repositories.py
+++ b/tests/test_rollout_repositories.py
@@ -1,11 +1,14 @@
 """Tests of the start of ordered rollouts, and of decisions that the store has lost."""
 
 from types import SimpleNamespace
+from unittest.mock import patch
 
 import testtools
 
 from guavagap.declarations import RolloutOrder
-from guavagap.metadata_store import TransactionOutcome
+from guavagap.declared_configuration import DeclaredConfiguration
+from guavagap.metadata_store import MirrorDelta, MirrorItem, TransactionOutcome
+from guavagap.platform.decode import decode_item, encode_status
 from guavagap.rollout_records import (
     RolloutRecord,
     decode_record,
@@ -84,3 +87,83 @@
         body = body.replace(b',"sequence":0', b"")
         record = decode_record(body)
         self.assertEqual((at(0, 5), 0), (record.order_position, record.sequence))
+
+
+class LostDecisionTests(AsyncTestCase):
+    """What the store has confirmed and lost is written again by the evaluator."""
+
+    def setUp(self):
+        super().setUp()
+        self.calls = []
+        self.outcome = TransactionOutcome(at(2, 9), [])
+        self.configuration = DeclaredConfiguration(lambda key: True, decode_item)
+        store = SimpleNamespace(transact=self.transact, is_unavailable=False)
+        self.repository = RecordRolloutRepository(
+            SimpleNamespace(configuration=self.configuration), store, encode_status
+        )
+
+    async def transact(self, expected, writes):
+        self.calls.append((expected, writes))
+        return self.outcome
+
+    def read(self, position, *records: tuple[StorePosition, RolloutRecord]) -> None:
+        """Mirror a listing at a position."""
+        items = tuple(
+            MirrorItem("mesh/rollout/shop", shown_at, encode_record(record))
+            for shown_at, record in records
+        )
+        self.configuration.apply(MirrorDelta(0, position.epoch, items))
+
+    def restore_lost(self, is_evaluator: bool = True) -> None:
+        self.run_async(self.repository.restore_lost, lambda service: is_evaluator)
+
+    def test_verdict_of_which_the_copy_shows_an_earlier_stage_is_written_again(self):
+        self.read(at(1, 20), (at(1, 20), make_record("completed", 7)))
+        self.read(at(2, 8), (at(2, 6), make_record("running", 5)))
+        self.assertEqual(
+            "completed", self.configuration.records["shop"].rollout["state"]
+        )
+        self.restore_lost(is_evaluator=False)
+        self.assertEqual([], self.calls)
+        self.restore_lost()
+        ((expected, (record_write, status_write)),) = self.calls
+        self.assertEqual({"mesh/rollout/shop": at(2, 6)}, expected)
+        self.assertEqual(8, decode_record(record_write.value).sequence)
+        self.assertIn(b"completed", status_write.value)
+
+    def test_verdict_that_the_copy_lacks_is_written_as_a_new_key(self):
+        self.read(at(1, 20), (at(1, 20), make_record("rolled_back", 7)))
+        self.read(at(2, 8))
+        self.restore_lost()
+        self.assertEqual({"mesh/rollout/shop": at(2, 0)}, self.calls[0][0])
+
+    def test_record_that_is_shown_again_is_not_written(self):
+        record = make_record("completed", 7)
+        self.read(at(1, 20), (at(1, 20), record))
+        self.read(at(2, 8), (at(2, 8), record))
+        self.restore_lost()
+        self.assertEqual([], self.calls)
+
+    def test_confirmed_verdict_that_no_node_has_read_stays_in_force(self):
+        self.read(at(1, 20), (at(1, 20), make_record("running", 7)))
+        self.outcome = TransactionOutcome(at(1, 21), [])
+        verdict = make_record("rolled_back", 7)
+        self.run_async(self.repository._write_record, "shop", verdict)
+        self.read(at(2, 8), (at(2, 6), make_record("running", 5)))
+        self.outcome = TransactionOutcome(None, [])
+        self.restore_lost()
+        record = self.configuration.records["shop"]
+        self.assertEqual(("rolled_back", 8), (record.rollout["state"], record.sequence))
+        self.assertEqual(at(2, 6), self.configuration.condition_of("mesh/rollout/shop"))
+
+    def test_confirmed_verdict_is_kept_if_the_watch_does_not_return_it(self):
+        self.read(at(1, 20), (at(1, 20), make_record("running", 7)))
+        self.outcome = TransactionOutcome(at(1, 21), [])
+        verdict = make_record("completed", 7)
+        self.run_async(self.repository._write_record, "shop", verdict)
+        self.restore_lost()
+        self.assertEqual(7, self.configuration.records["shop"].sequence)
+        with patch("guavagap.rollout_repositories.CONFIRMED_WRITE_GRACE_S", 0.0):
+            self.restore_lost()
+        self.assertEqual(8, self.configuration.records["shop"].sequence)
+        self.assertEqual(at(1, 20), self.configuration.position)
