Keep one mesh key when a restore of the store loses it

What callers saw: nothing yet; found by reading. A copy from before the mesh key was created has none. Nodes that run keep theirs, and a node that starts then creates another one, so the mesh is split for good.

The fix: a key begins with the era of the store in which it was created. Store relays write the key again where a listing lacks it, and the older of two keys wins: nodes that have it write it in place of the younger one, the others adopt it and join anew. A node that finds no other one compares its key with that of the store. A node that starts in a store that was restored since the key was created waits, for a second at most, until it has compared members and configuration with a node that runs.

--- a/guavagap/links.py
+++ b/guavagap/links.py
@@ -127,6 +127,12 @@
                 return
             log.debug("link ended", why=str(error))
 
+    async def replace_key(self, key_bytes: bytes) -> None:
+        """Authenticate new links with another key, and close those of the old one."""
+        self._identity = self._identity._replace(mesh_key_bytes=key_bytes)
+        for link in [*self._dialed.values(), *self.accepted]:
+            await link.close()
+
     async def close_idle(self, idle_s: float = IDLE_LINK_S) -> None:
         """Close the dialed links that have been idle for ``idle_s``."""
         for link in list(self._dialed.values()):
--- a/guavagap/membership.py
+++ b/guavagap/membership.py
@@ -104,6 +104,10 @@
         self._last_contact_s: dict[str, float] = {}
         self._sock = None
 
+    def replace_key(self, key_bytes: bytes) -> None:
+        """Authenticate datagrams with another key from now on."""
+        self._key_bytes = key_bytes
+
     def listen(self) -> None:
         """Open the socket.
 
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -42,6 +42,7 @@
 from guavagap.proxy import Proxy
 from guavagap.retries import RetryBudget
 from guavagap.settings import Settings
+from guavagap.store_positions import describe_epoch
 from guavagap.stream_messages import UNKNOWN_CONDITION, Condition
 from guavagap.tasks import TaskScope, open_task_scope
 
@@ -361,7 +362,12 @@
         """Apply the newest available configuration, then become ready."""
         await self.deployment.sync_configuration(self)
         self.is_ready = True
-        log.info("node ready", epoch=self.configuration.epoch)
+        log.info("node ready", epoch=describe_epoch(self.configuration.epoch))
+
+    async def replace_mesh_key(self, key_bytes: bytes) -> None:
+        """Leave the nodes that have the old key for those that have another one."""
+        self.membership.replace_key(key_bytes)
+        await self.links.replace_key(key_bytes)
 
     def make_retry_budget(self, share: float) -> RetryBudget:
         """Return this node's share of the retry budget of a service or route."""
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -20,7 +20,7 @@
 from guavagap.head import Rollout
 from guavagap.key_transfer import KeyOffer
 from guavagap.logs import get_logger
-from guavagap.mesh_keys import StoredKey
+from guavagap.mesh_keys import MeshKeyGuard, StoredKey, era_of_key
 from guavagap.messages import DatagramKind
 from guavagap.metadata_store import Lease, Listing, MetadataStore, MirrorItem, Write
 from guavagap.node_entries import (
@@ -136,6 +136,9 @@
         self._entry_position = BEGINNING
         self._is_entry_lost = False
         self._listed_at_s: float | None = None
+        self._key_guard = MeshKeyGuard(
+            adapter.store, key.key_bytes, self._has_alive_peer, self._adopt_mesh_key
+        )
         is_key_created = isinstance(key, StoredKey) and key.is_created
         self._is_first_holder = is_key_created or random.random() < FIRST_HOLDER_SHARE
 
@@ -189,7 +192,7 @@
             await curio.sleep(SYNC_POLL_INTERVAL_S)
         await self._introduce()
         deadline_s = steady_s() + JOIN_TIMEOUT_S
-        while self._entries and not node.is_synchronised:
+        while self._is_joining(node):
             if steady_s() >= deadline_s:
                 log.warning(
                     "member table not synchronised yet", entries=len(self._entries)
@@ -197,6 +200,18 @@
                 return
             await curio.sleep(SYNC_POLL_INTERVAL_S)
 
+    def _is_joining(self, node) -> bool:
+        """Return whether nodes that run still have something for a starting node.
+
+        A store that was restored since the mesh was created may lack their entries and
+        the newest configuration, which they have.
+        """
+        if self._adapter.store.era > era_of_key(self.mesh_key_bytes):
+            return not (
+                node.is_synchronised and node.disseminator.exchanges.has_matched
+            )
+        return bool(self._entries) and not node.is_synchronised
+
     def _is_synchronised_from_peers(self, node) -> bool:
         """Return whether the store is unavailable but peers sent the configuration."""
         has_peer_configuration = node.is_synchronised and self.configuration.is_complete
@@ -207,10 +222,21 @@
         await node.scope.spawn_supervised(self._adapter.serve, node)
         await node.scope.spawn_supervised(self._maintain_entry)
         await node.scope.spawn_supervised(self._run_introductions)
+        await node.scope.spawn_supervised(self._key_guard.run)
+
+    def _has_alive_peer(self) -> bool:
+        return self._node.table.has_alive_peer()
+
+    async def _adopt_mesh_key(self, key_bytes: bytes) -> None:
+        """Continue with the key of an older mesh, as if this node had just started."""
+        self.mesh_key_bytes = key_bytes
+        await self._node.replace_mesh_key(key_bytes)
+        await self._introduce()
 
     def _on_listing(self, listing: Listing) -> None:
         """Record the entries of other nodes, and the loss of the local entry."""
         local_key = self._entry_key
+        self._key_guard.on_listing(listing)
         if self._listed_at_s is None:
             self._listed_at_s = steady_s()
         if listing.is_complete:
