Show operators a restore of the store and what was written again

A status names the store's era, the keys of which the store shows something older than is in force, and what this node has written again; an alarm lists the keys. Metrics: guavagap_store_era, guavagap_store_keys_behind, guavagap_store_recoveries_total. Epochs in logs and in `guavagap nodes` are written as ERA/REVISION.

--- a/guavagap/admin.py
+++ b/guavagap/admin.py
@@ -53,6 +53,9 @@
     alarms = []
     if node.relay.has_regressed:
         alarms.append("platform went back in time")
+    if node.configuration.keys_behind:
+        keys = ", ".join(sorted(node.configuration.keys_behind))
+        alarms.append(f"the store shows an older state of {keys}")
     if node.disseminator.conflicting_epochs:
         alarms.append("an epoch has two contents")
     if node.configuration.rejections:
@@ -72,6 +75,11 @@
         "epoch": node.configuration.epoch,
         "head_digest": node.configuration.head_digest,
         "platform_epoch": node.relay.platform_epoch,
+        "store": {
+            "era": node.deployment.store_era,
+            "keys_behind": sorted(node.configuration.keys_behind),
+            "recoveries": dict(node.deployment.recovery_counts),
+        },
         "services": node.configuration.describe_services(),
         "pools": _pools_status(node),
         "members": _members_status(node),
--- a/guavagap/cli.py
+++ b/guavagap/cli.py
@@ -26,6 +26,7 @@
 from guavagap.platform.key_value import open_key_value_store
 from guavagap.request_trace import describe_trace, read_log, trace_request
 from guavagap.settings import parse_platform_url
+from guavagap.store_positions import describe_epoch
 
 __all__ = ["main", "run"]
 
@@ -217,7 +218,7 @@
 
 
 def _format_node(summary) -> str:
-    epoch = "-" if summary.epoch is None else str(summary.epoch)
+    epoch = "-" if summary.epoch is None else describe_epoch(summary.epoch)
     labels = (["relay"] if summary.is_relay else []) + list(summary.alarms)
     return (
         f"{summary.node_id}\t{summary.failure_domain}\t{summary.state}"
--- a/guavagap/metrics.py
+++ b/guavagap/metrics.py
@@ -88,6 +88,7 @@
             "1 when the platform shows an older history.",
             int(node.relay.has_regressed),
         )
+        self._collect_store()
         self._set_gauge(
             "relay_held", "1 while this node is relay.", int(node.relay.is_active)
         )
@@ -99,6 +100,26 @@
         for way, value in node.disseminator.counts.items():
             self._set_counter("config_deltas_total", "Deltas by way.", value, way=way)
 
+    def _collect_store(self) -> None:
+        node = self._node
+        self._set_gauge(
+            "store_era",
+            "History of the store that was read.",
+            node.deployment.store_era,
+        )
+        self._set_gauge(
+            "store_keys_behind",
+            "Keys of which the store shows something older than is in force.",
+            len(node.configuration.keys_behind),
+        )
+        for what, value in node.deployment.recovery_counts.items():
+            self._set_counter(
+                "store_recoveries_total",
+                "Restores of the store, and what was written again, by kind.",
+                value,
+                what=what,
+            )
+
     def _collect_unknown_values(self) -> None:
         """Set 1 for each value in use, and 0 for those of earlier declarations."""
         current = set(self._node.configuration.unknown_values)
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections import Counter
 from typing import Callable, NamedTuple
 
 import curio
@@ -128,6 +129,7 @@
         self._settings = settings
         self._adapter = adapter
         self._store_relay: StoreRelay | None = None
+        self._rollout_repository: RecordRolloutRepository | None = None
         self._node = None
         self._entry_key = entry_key(settings.failure_domain, settings.node_id)
         self._entries: dict[str, bytes] = {}
@@ -135,6 +137,7 @@
             self._entries[KEY_PROVIDER_ENTRY] = format_address(key.provider).encode()
         self._entry_position = BEGINNING
         self._is_entry_lost = False
+        self._rewritten_entry_count = 0
         self._listed_at_s: float | None = None
         self._key_guard = MeshKeyGuard(
             adapter.store, key.key_bytes, self._has_alive_peer, self._adopt_mesh_key
@@ -152,6 +155,17 @@
         """Number of the store's history, as this node or another one has seen it."""
         return max(self._adapter.store.era, self.configuration.position.era)
 
+    @property
+    def recovery_counts(self) -> Counter[str]:
+        """Restores seen, and what was written again after them, by kind."""
+        repository = self._rollout_repository
+        return Counter(
+            restores=self._adapter.store.restore_count,
+            entries=self._rewritten_entry_count,
+            mesh_key=self._key_guard.rewritten_count,
+            records=0 if repository is None else repository.rewritten_count,
+        )
+
     def _is_mirrored(self, key: str) -> bool:
         return key.startswith((self._adapter.operator_prefix, RECORD_PREFIX))
 
@@ -167,9 +181,10 @@
         return self._store_relay
 
     def make_rollout_repository(self, node):
-        return RecordRolloutRepository(
+        self._rollout_repository = RecordRolloutRepository(
             node, self._adapter.store, self._adapter.encode_status
         )
+        return self._rollout_repository
 
     def make_retry_budget(self, share, node_count):
         settings = self._settings
@@ -367,6 +382,7 @@
         key = self._entry_key
         address = format_address(self._settings.mesh_address).encode()
         outcome = await store.transact({}, [Write(key, address, lease.lease_id)])
+        self._rewritten_entry_count += self._entry_position != BEGINNING
         self._entry_position = outcome.position or BEGINNING
         self._is_entry_lost = False
         log.info("entry written", key=key, position=str(self._entry_position))
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -27,6 +27,7 @@
 from guavagap.poison import fingerprint_of
 from guavagap.requests import Exchange
 from guavagap.snapshot import CompiledRoute, find_route
+from guavagap.store_positions import describe_epoch
 
 __all__ = ["Proxy"]
 
@@ -146,7 +147,7 @@
             why=error.detail,
             status=self._dialect.status_of(error.kind) if can_respond else 0,
             **_retry_delay_field(error),
-            epoch=self._node.configuration.epoch,
+            epoch=describe_epoch(self._node.configuration.epoch),
         )
         if not can_respond:
             return False
--- a/guavagap/rollout_repositories.py
+++ b/guavagap/rollout_repositories.py
@@ -137,6 +137,9 @@
         store: client of the store that contains the records.
         encode_status: returns the key and value that report a rollout's state to the
             operator.
+
+    Attributes:
+        rewritten_count: how often this node has written a lost record again.
     """
 
     interval_s = ORDERED_INTERVAL_S
@@ -153,6 +156,7 @@
         self._store = store
         self._encode_status = encode_status
         self._confirmed: dict[str, _ConfirmedWrite] = {}
+        self.rewritten_count = 0
 
     @property
     def is_store_lost(self):
@@ -215,6 +219,7 @@
             position = max(record.order_position, order[0])
             record = record._replace(order_position=position)
         if await self._write_record(service, record):
+            self.rewritten_count += 1
             log.warning(
                 "lost decision written again",
                 service=service,
