--- a/guavagap/mesh_keys.py
+++ b/guavagap/mesh_keys.py
@@ -22,7 +22,7 @@
 
 __all__ = [
     "MESH_KEY",
-    "MeshKeyGuard",
+    "MeshKeySync",
     "StoredKey",
     "era_of_key",
     "is_older_key",
@@ -41,7 +41,7 @@
 # does so within a second.
 FIRST_CREATOR_SHARE = 1 / 128
 KEY_ROUND_INTERVAL_S = 0.12
-GUARD_INTERVAL_S = 0.5
+SYNC_INTERVAL_S = 0.5
 # Each relay finds the loss at about the same time; the first write suffices.
 MAX_RESTORE_DELAY_S = 0.4
 # A node that finds no other one for so long checks whether it has the mesh's key.
@@ -79,7 +79,7 @@
     return key < other
 
 
-class MeshKeyGuard:
+class MeshKeySync:
     """Keeps the oldest key of the mesh in the store and in the local node.
 
     Args:
@@ -119,8 +119,8 @@
         """Compare the key with that of the store until cancelled."""
         idle_s = 0.0
         while True:
-            await curio.sleep(GUARD_INTERVAL_S)
-            idle_s = 0.0 if self._has_alive_peer() else idle_s + GUARD_INTERVAL_S
+            await curio.sleep(SYNC_INTERVAL_S)
+            idle_s = 0.0 if self._has_alive_peer() else idle_s + SYNC_INTERVAL_S
             try:
                 if idle_s >= ISOLATION_CHECK_INTERVAL_S:
                     idle_s = 0.0
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -21,7 +21,7 @@
 from guavagap.head import Rollout
 from guavagap.key_transfer import KeyOffer
 from guavagap.logs import get_logger
-from guavagap.mesh_keys import MeshKeyGuard, StoredKey, era_of_key
+from guavagap.mesh_keys import MeshKeySync, StoredKey, era_of_key
 from guavagap.messages import DatagramKind
 from guavagap.metadata_store import Lease, Listing, MetadataStore, MirrorItem, Write
 from guavagap.node_entries import (
@@ -139,7 +139,7 @@
         self._is_entry_lost = False
         self._rewritten_entry_count = 0
         self._listed_at_s: float | None = None
-        self._key_guard = MeshKeyGuard(
+        self._key_sync = MeshKeySync(
             adapter.store, key.key_bytes, self._has_alive_peer, self._adopt_mesh_key
         )
         is_key_created = isinstance(key, StoredKey) and key.is_created
@@ -162,7 +162,7 @@
         return Counter(
             restores=self._adapter.store.restore_count,
             entries=self._rewritten_entry_count,
-            mesh_key=self._key_guard.rewritten_count,
+            mesh_key=self._key_sync.rewritten_count,
             records=0 if repository is None else repository.rewritten_count,
         )
 
@@ -237,7 +237,7 @@
         await node.scope.spawn_supervised(self._adapter.serve, node)
         await node.scope.spawn_supervised(self._maintain_entry)
         await node.scope.spawn_supervised(self._run_introductions)
-        await node.scope.spawn_supervised(self._key_guard.run)
+        await node.scope.spawn_supervised(self._key_sync.run)
 
     def _has_alive_peer(self) -> bool:
         return self._node.table.has_alive_peer()
@@ -251,7 +251,7 @@
     def _on_listing(self, listing: Listing) -> None:
         """Record the entries of other nodes, and the loss of the local entry."""
         local_key = self._entry_key
-        self._key_guard.on_listing(listing)
+        self._key_sync.on_listing(listing)
         if self._listed_at_s is None:
             self._listed_at_s = steady_s()
         if listing.is_complete:
--- a/tests/test_mesh_keys.py
+++ b/tests/test_mesh_keys.py
@@ -11,7 +11,7 @@
 from guavagap.addresses import Address
 from guavagap.mesh_keys import (
     MESH_KEY,
-    MeshKeyGuard,
+    MeshKeySync,
     era_of_key,
     is_older_key,
     obtain_mesh_key,
@@ -102,8 +102,8 @@
             return run_in_virtual_time(case, modules=("standins.platform_server",))
 
     @asynccontextmanager
-    async def open_guards(self, server_address, keys: dict[str, bytes], adopted):
-        """Yield the clients of nodes that run a guard, by node."""
+    async def open_syncs(self, server_address, keys: dict[str, bytes], adopted):
+        """Yield the clients of nodes that keep their key in the store, by node."""
 
         def adopt_for(node_id: str):
             async def adopt(key_bytes: bytes) -> None:
@@ -118,18 +118,18 @@
                 client = await stack.enter_async_context(
                     open_store_client(server_address)
                 )
-                guard = MeshKeyGuard(
+                key_sync = MeshKeySync(
                     client, key_bytes, lambda: True, adopt_for(node_id)
                 )
                 clients[node_id] = client
-                await group.spawn(guard.run)
-                await group.spawn(self.list_forever, client, guard)
+                await group.spawn(key_sync.run)
+                await group.spawn(self.list_forever, client, key_sync)
             yield clients
             await group.cancel_remaining()
 
-    async def list_forever(self, client, guard) -> None:
+    async def list_forever(self, client, key_sync) -> None:
         while True:
-            guard.on_listing(await client.list_prefix(""))
+            key_sync.on_listing(await client.list_prefix(""))
             await curio.sleep(0.3)
 
     def play(self, keys: dict[str, bytes], stored: bytes | None):
@@ -142,7 +142,7 @@
                 await server.restore(60.0)
                 if stored is not None:
                     await server.store.transact({}, [(MESH_KEY, stored, 0)], [])
-                async with self.open_guards(address, keys, adopted):
+                async with self.open_syncs(address, keys, adopted):
                     await curio.sleep(SETTLE_S)
                 return server.store.get(MESH_KEY).value, adopted
 
@@ -172,8 +172,8 @@
                 open_store_client(address) as client,
             ):
                 await server.store.transact({}, [(MESH_KEY, old, 0)], [])
-                guard = MeshKeyGuard(client, young, lambda: False, adopt)
-                task = await curio.spawn(guard.run)
+                key_sync = MeshKeySync(client, young, lambda: False, adopt)
+                task = await curio.spawn(key_sync.run)
                 await curio.sleep(10.0)
                 await task.cancel()
             return adopted
