Write a lost mesh key again after a refused write

What callers saw: nothing; found by reading the diff. A store relay forgot that the store lacks the key before it wrote it, so a write that was refused or lost was not repeated until the next complete listing, which may be hours later.

The fix: it is forgotten after the response only. The test fails without that.

--- a/guavagap/admin.py
+++ b/guavagap/admin.py
@@ -76,7 +76,7 @@
         "head_digest": node.configuration.head_digest,
         "platform_epoch": node.relay.platform_epoch,
         "store": {
-            "era": node.deployment.store_era,
+            "era": node.deployment.history_era,
             "keys_behind": sorted(node.configuration.keys_behind),
             "recoveries": dict(node.deployment.recovery_counts),
         },
--- a/guavagap/deployment.py
+++ b/guavagap/deployment.py
@@ -25,7 +25,7 @@
         mesh_key_bytes: key that authenticates links and datagrams.
         is_key_shared: whether nodes may send the key to members that request it.
         call_counts: number of platform calls by kind.
-        store_era: number of the store's history, one higher after each restore from a
+        history_era: number of the store's history, one higher after each restore from a
             copy; 0 if it is unknown.
         recovery_counts: restores of the store that this node has seen, and what it has
             written again after them, by kind.
@@ -39,7 +39,7 @@
     mesh_key_bytes: bytes
     is_key_shared: bool = False
     call_counts: Counter[str]
-    store_era: int = 0
+    history_era: int = 0
     recovery_counts: Counter[str] = Counter()
 
     @abstractmethod
--- a/guavagap/mesh_keys.py
+++ b/guavagap/mesh_keys.py
@@ -72,11 +72,11 @@
     Of two keys of one era, which are possible only if their eras are unknown, any fixed
     order serves.
     """
-    key, other = (era_of_key(key_bytes), key_bytes), (
-        era_of_key(other_bytes),
-        other_bytes,
-    )
-    return key < other
+    return _creation_order(key_bytes) < _creation_order(other_bytes)
+
+
+def _creation_order(key_bytes: bytes) -> tuple[int, bytes]:
+    return era_of_key(key_bytes), key_bytes
 
 
 class MeshKeySync:
@@ -153,10 +153,11 @@
         condition = (
             shown.position.start_of_era if shown.body is None else shown.position
         )
-        self._shown = None
         outcome = await self._store.transact(
             {MESH_KEY: condition}, [Write(MESH_KEY, self._key_bytes)]
         )
+        if self._shown is shown:
+            self._shown = None
         if outcome.position is not None:
             self.rewritten_count += 1
             log.warning("mesh key written again", position=str(outcome.position))
--- a/guavagap/metrics.py
+++ b/guavagap/metrics.py
@@ -103,9 +103,9 @@
     def _collect_store(self) -> None:
         node = self._node
         self._set_gauge(
-            "store_era",
+            "store_history_era",
             "History of the store that was read.",
-            node.deployment.store_era,
+            node.deployment.history_era,
         )
         self._set_gauge(
             "store_keys_behind",
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -151,7 +151,7 @@
         return self._adapter.store.call_counts
 
     @property
-    def store_era(self) -> int:
+    def history_era(self) -> int:
         """Number of the store's history, as this node or another one has seen it."""
         return max(self._adapter.store.era, self.configuration.position.era)
 
@@ -354,7 +354,7 @@
         for _ in range(steps):
             if self._is_entry_lost:
                 return
-            if lease.era < self.store_era:
+            if lease.era < self.history_era:
                 # All entries are lost at once; the store limits the rate of writes.
                 await curio.sleep(random.uniform(0, MAX_RESTORE_DELAY_S))
                 return
@@ -364,13 +364,13 @@
         """Return whether entries may be missing since the store was restored."""
         return bool(self.configuration.keys_behind) or self._entry_position.era not in (
             0,
-            self.store_era,
+            self.history_era,
         )
 
     async def _refresh_entry(self, lease: Lease | None) -> Lease:
         """Renew the lease, and write the entry if it or its lease is lost."""
         store = self._adapter.store
-        if lease is not None and lease.era < self.store_era:
+        if lease is not None and lease.era < self.history_era:
             log.info("lease lost by a restore of the store", era=lease.era)
             lease = None
         if lease is not None and not await store.renew_lease(lease):
--- a/tests/test_mesh_keys.py
+++ b/tests/test_mesh_keys.py
@@ -152,6 +152,27 @@
         key = make_key(1, b"k")
         self.assertEqual((key, {}), self.play({"a1": key, "a2": key}, None))
 
+    def test_key_is_written_again_after_a_refused_write(self):
+        key = make_key(1, b"k")
+
+        async def case(clock):
+            address = Address("127.0.0.1", allocate_ports(1)[0])
+            async with (
+                open_platform_server(address) as server,
+                open_store_client(address) as client,
+            ):
+                key_sync = MeshKeySync(client, key, lambda: True, None)
+                key_sync.on_listing(await client.list_prefix(""))
+                server.knobs["busy_status"] = 503
+                task = await curio.spawn(key_sync.run)
+                await curio.sleep(SETTLE_S)
+                server.knobs["busy_status"] = 0
+                await curio.sleep(SETTLE_S)
+                await task.cancel()
+                return server.store.get(MESH_KEY).value
+
+        self.assertEqual(key, self.run_case(case))
+
     def test_key_of_a_node_that_started_meanwhile_is_replaced_by_the_older_one(self):
         old, young = make_key(1, b"k"), make_key(2, b"a")
         stored, adopted = self.play({"a1": old, "a2": old, "b1": young}, young)
