Refuse an era or a revision that positions cannot hold

What callers saw: nothing; found by asking where one malformed message ends a task. Such a response counts as none now, as one with an era that is no number. The test fails without the check.

--- a/guavagap/platform/store.py
+++ b/guavagap/platform/store.py
@@ -26,7 +26,7 @@
     TransactionOutcome,
     Write,
 )
-from guavagap.store_positions import StorePosition
+from guavagap.store_positions import MAX_ERA, MAX_REVISION, StorePosition
 
 __all__ = ["StoreClient", "open_store_client"]
 
@@ -300,10 +300,9 @@
         text = response.header(_ERA_HEADER)
         if text is None:
             return self.era
-        try:
-            era = int(text)
-        except ValueError:
-            raise _malformed(f"invalid era {text!r}") from None
+        if not text.isdigit() or len(text) > len(str(MAX_ERA)) or int(text) > MAX_ERA:
+            raise _malformed(f"invalid era {text[:40]!r}")
+        era = int(text)
         if era < self.era:
             raise self._unreachable(f"response of era {era}, known is {self.era}")
         if era > self.era > 0:
@@ -388,7 +387,10 @@
 
 def _decode_position(value: dict, name: str, era: int) -> StorePosition:
     """Return the position of a revision in a response that names an era."""
-    return StorePosition(era, _int_field(value, name))
+    revision = _int_field(value, name)
+    if revision not in range(MAX_REVISION + 1):
+        raise _malformed(f"{name} has the invalid value {revision}")
+    return StorePosition(era, revision)
 
 
 def _decode_item(row: dict, era: int) -> StoreItem:
--- a/guavagap/store_positions.py
+++ b/guavagap/store_positions.py
@@ -9,6 +9,8 @@
 
 __all__ = [
     "BEGINNING",
+    "MAX_ERA",
+    "MAX_REVISION",
     "StorePosition",
     "describe_epoch",
     "position_of_epoch",
@@ -16,6 +18,8 @@
 
 # An epoch is an integer of 64 bits: 24 bits of the era and 40 of the revision.
 REVISION_BITS = 40
+MAX_ERA = (1 << 24) - 1
+MAX_REVISION = (1 << REVISION_BITS) - 1
 
 
 class StorePosition(NamedTuple):
@@ -48,7 +52,7 @@
 
 def position_of_epoch(epoch: int) -> StorePosition:
     """Return the position that :attr:`StorePosition.epoch` was made from."""
-    return StorePosition(epoch >> REVISION_BITS, epoch & (1 << REVISION_BITS) - 1)
+    return StorePosition(epoch >> REVISION_BITS, epoch & MAX_REVISION)
 
 
 def describe_epoch(epoch: int) -> str:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -4,8 +4,9 @@
 ``is_down`` closes connections without a response, ``busy_status`` rejects every call
 with that status, ``is_silent`` leaves calls that arrive or wait meanwhile without a
 response for good, ``lose_write_answers`` applies that many writes but closes the
-connection without a response, ``garble_answers`` corrupts that many responses. ``GET
-/counts`` returns the number of calls by kind; ``GET`` and ``PUT /items/KEY`` read and
+connection without a response, ``garble_answers`` corrupts that many responses,
+``era_text`` replaces the era in every response. ``GET /counts`` returns the number of
+calls by kind; ``GET`` and ``PUT /items/KEY`` read and
 write a key with its owner's permissions, unaffected by the knobs; ``POST /compact``
 discards the history and ``POST /revoke/PREFIX`` deletes the keys with a prefix.
 ``POST /restore`` with ``age_s`` in a JSON object replaces the state by a copy of that
@@ -64,6 +65,7 @@
             "busy_status": 0,
             "lose_write_answers": 0,
             "garble_answers": 0,
+            "era_text": "",
         }
         self._silence_count = 0
 
@@ -72,7 +74,7 @@
         url = urlsplit(request.target.decode())
         if url.path.startswith("/api/"):
             response = await self._handle_call(url, request)
-            era = str(self.store.era).encode()
+            era = self.knobs["era_text"].encode() or str(self.store.era).encode()
             return response._replace(headers=[*response.headers, (ERA_HEADER, era)])
         return await self._handle_control(url.path, request)
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -125,6 +125,24 @@
 
         self.check(case)
 
+    def test_malformed_era_or_revision_is_no_response(self):
+        async def case(server, client):
+            await client.get("a")
+            for text in ("two", "-1", "2.5", "9" * 8, "9" * 5000):
+                server.knobs["era_text"] = text
+                await self.assert_error_kind(
+                    ErrorKind.PLATFORM_UNREACHABLE, client.get("a")
+                )
+            server.knobs["era_text"] = ""
+            await client.transact({}, [Write("a", b"1")])
+            server.store.revision = 1 << 40
+            await self.assert_error_kind(
+                ErrorKind.PLATFORM_UNREACHABLE, client.list_prefix("")
+            )
+            self.assertEqual(1, client.era)
+
+        self.check(case)
+
     def test_response_from_before_a_known_restore_is_no_response(self):
         async def case(server, client):
             await server.restore(60.0)
