--- a/review/common/crashes.py
+++ b/review/common/crashes.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Callable
 
-from mesh import HOST, STABLE_WINDOW_S, Machine, Mesh, Process, environment
+from mesh import HOST, STABLE_WINDOW_S, CannotRun, Machine, Mesh, Process, environment
 
 MAX_LATE_RETRIES = 3
 # PROTOCOL.md: the upstream is back after some seconds.
@@ -56,9 +56,13 @@
             machine = self._machine
             arguments = [PROGRAM, machine.app, machine.control]
             arguments += [server_id, machine.service]
-            self._process = self._mesh.spawn(
-                arguments, environment(), f"{server_id}-{self._start_count}.log"
-            )
+            try:
+                self._process = self._mesh.spawn(
+                    arguments, environment(), f"{server_id}-{self._start_count}.log"
+                )
+            except CannotRun:
+                # The script ends.
+                return
             self._mesh.record.write("upstream started", server=server_id)
             self._process.wait()
             if self._mesh.is_closing:
--- a/review/common/mesh.py
+++ b/review/common/mesh.py
@@ -285,6 +285,7 @@
         self._temporary = tempfile.TemporaryDirectory(prefix="guavagap-review-")
         self.log_folder = Path(self._temporary.name)
         self._processes: list[Process] = []
+        self._spawn_lock = threading.Lock()
         self.is_closing = False
         ports = free_ports(7)
         self.store_address = f"127.0.7.250:{ports[0]}"
@@ -295,15 +296,20 @@
         return self
 
     def __exit__(self, *_) -> None:
-        self.is_closing = True
+        with self._spawn_lock:
+            self.is_closing = True
         for process in self._processes:
             process.kill()
         self.record.close()
         self._temporary.cleanup()
 
-    def spawn(self, arguments: list[str], environment: dict, log_name: str) -> Process:
-        process = Process(arguments, environment, self.log_folder / log_name)
-        self._processes.append(process)
+    def spawn(self, arguments: list[str], variables: dict, log_name: str) -> Process:
+        """Start a process, which ends with the mesh at the latest."""
+        with self._spawn_lock:
+            if self.is_closing:
+                raise CannotRun("the mesh is closed")
+            process = Process(arguments, variables, self.log_folder / log_name)
+            self._processes.append(process)
         return process
 
     def start_store(self) -> None:
