--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,11 +1,12 @@
 """An upstream leaves, the daemon beside it restarts, and a late heartbeat comes."""
 
+import os
 import sys
 import threading
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from mesh import (  # noqa: E402
     DRAIN_S,
@@ -94,4 +95,8 @@
     return late
 
 
-run_case(__file__, play)
+run_case(
+    play,
+    is_troubled=os.environ.get("TROUBLE", "1") != "0",
+    record_path=Path(__file__).resolve().with_name("record.txt"),
+)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,13 +1,14 @@
 """A heartbeat of another writer that names no known service comes to one machine."""
 
 import json
+import os
 import signal
 import sys
 import threading
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from mesh import GRACE_S, STABLE_WINDOW_S, Machine, Mesh, run_case  # noqa: E402
 
@@ -146,4 +147,8 @@
             time.sleep(0.2)
 
 
-run_case(__file__, play)
+run_case(
+    play,
+    is_troubled=os.environ.get("TROUBLE", "1") != "0",
+    record_path=Path(__file__).resolve().with_name("record.txt"),
+)
--- a/review/common/mesh.py
+++ b/review/mesh.py
@@ -21,7 +21,7 @@
 import time
 from pathlib import Path
 
-REPOSITORY = Path(__file__).resolve().parents[2]
+REPOSITORY = Path(__file__).resolve().parents[1]
 PYTHON = str(REPOSITORY / "target" / "python")
 HOST = "shop.example"
 REGION = "vestland"
@@ -44,8 +44,8 @@
 class Record:
     """The file ``record.txt``: what was sent, answered and run, with times."""
 
-    def __init__(self, folder: Path):
-        self._file = open(folder / "record.txt", "w", encoding="utf-8")
+    def __init__(self, path: Path):
+        self._file = open(path, "w", encoding="utf-8")
         self._lock = threading.Lock()
         self._started_s = time.monotonic()
 
@@ -280,8 +280,8 @@
 class Mesh:
     """The store and the machines; ends all processes when it is closed."""
 
-    def __init__(self, folder: Path):
-        self.record = Record(folder)
+    def __init__(self, record_path: Path):
+        self.record = Record(record_path)
         self._temporary = tempfile.TemporaryDirectory(prefix="guavagap-review-")
         self.log_folder = Path(self._temporary.name)
         self._processes: list[Process] = []
@@ -570,18 +570,17 @@
         return head.encode("latin-1") + b"\r\n" + body
 
 
-def run_case(script: str, play) -> None:
+def run_case(play, is_troubled: bool, record_path: Path) -> None:
     """Run ``play(mesh, is_troubled)`` and exit with its result.
 
     Args:
-        script: path of the script; the record is written into its folder.
         play: returns whether the rule was broken.
+        is_troubled: whether the disruption is played.
+        record_path: file for what was sent, answered and run.
     """
-    folder = Path(script).resolve().parent
-    is_troubled = os.environ.get("TROUBLE", "1") != "0"
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     code = EXIT_NOT_RUN
-    with Mesh(folder) as mesh:
+    with Mesh(record_path) as mesh:
         mesh.record.write("begin", trouble=int(is_troubled))
         try:
             is_broken = play(mesh, is_troubled)
@@ -593,5 +592,5 @@
                 mesh.record.write("log", file=path.name, last=" | ".join(lines))
         verdict = {EXIT_HELD: "held", EXIT_BROKEN: "broken", EXIT_NOT_RUN: "not run"}
         mesh.record.write("verdict", rule=verdict[code])
-        print(f"{folder.name}: {verdict[code]}")
+        print(f"case {record_path.parent.name}: {verdict[code]}")
     sys.exit(code)
