Keep one value that cannot be sent from ending requests of other nodes

Cause: the heartbeat's text was no Unicode and was taken into the member row. Each message with that row then raised where nobody expected it, which ended the membership loops and the links on which requests ran. Heartbeats of unknown services could displace a sound backend server as well.

Why this works: whether the schema can hold a value is asked before the value is taken, by checks that follow from the schema; a message goes out without the items that cannot be held; and control traffic that fails closes no link.

--- a/guavagap/admin.py
+++ b/guavagap/admin.py
@@ -3,6 +3,7 @@
 import json
 
 from guavagap.announcements import decode_announcement
+from guavagap.errors import GuavagapError
 from guavagap.faults import decode_blocked
 from guavagap.http_messages import HttpRequest, HttpResponse
 from guavagap.messages import MemberState
@@ -138,7 +139,10 @@
             return _json_response(
                 422, {"error": "the backend server identifier is missing"}
             )
-        self._node.announcements.announce(server_id, decoded.ok)
+        try:
+            self._node.announcements.announce(server_id, decoded.ok)
+        except GuavagapError as error:
+            return _json_response(422, {"error": error.detail})
         await self._node.apply_announcements()
         return _json_response(200, {"server_id": server_id})
 
--- a/guavagap/announcements.py
+++ b/guavagap/announcements.py
@@ -13,7 +13,9 @@
 from typing_extensions import NotRequired, TypedDict
 
 from guavagap.addresses import parse_address
+from guavagap.codec import find_problem
 from guavagap.documents import Name, VersionName
+from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.messages import BackendServer
 from guavagap.validation import STRICT, InvalidValueError, Limits, make_validator
 
@@ -22,6 +24,7 @@
     "Announcement",
     "AnnouncementRegistry",
     "ServerReport",
+    "check_server_id",
     "decode_announcement",
 ]
 
@@ -29,6 +32,10 @@
 DEFAULT_TTL_S = 15.0
 DRAINED_RETENTION_S = 60.0
 MAX_DRAIN_RECORDS = 200
+MAX_NAME_LENGTH = 200
+# A VM has one; during a replacement it may have two, and other writers' remain for a
+# while.
+MAX_SERVERS = 16
 
 
 def _wall_clock_ms() -> int:
@@ -77,6 +84,61 @@
     sequence: int
 
 
+def check_server_id(server_id: str) -> None:
+    """Check an identifier, which is sent to the backend server in a header.
+
+    Raises:
+        GuavagapError: BAD_REQUEST.
+    """
+    _check_name("identifier", server_id)
+    if not server_id.isascii():
+        raise GuavagapError(ErrorKind.BAD_REQUEST, "the identifier is not ASCII")
+
+
+def _check_name(what: str, name: str) -> None:
+    is_name = name.isprintable() and " " not in name
+    if not is_name or not 0 < len(name) <= MAX_NAME_LENGTH:
+        raise GuavagapError(
+            ErrorKind.BAD_REQUEST,
+            f"the {what} is not a name of 1 to {MAX_NAME_LENGTH} characters",
+        )
+
+
+def _check_server(server: BackendServer) -> None:
+    """Check that other nodes can be told of a backend server.
+
+    Raises:
+        GuavagapError: BAD_REQUEST.
+    """
+    problem = find_problem(server)
+    if problem is not None:
+        raise GuavagapError(ErrorKind.BAD_REQUEST, problem)
+
+
+def _make_server(report: ServerReport) -> BackendServer:
+    """Return the backend server that a report names.
+
+    Raises:
+        GuavagapError: BAD_REQUEST when it names none that may be used.
+    """
+    check_server_id(report.server_id)
+    _check_name("service", report.service)
+    _check_name("version", report.version)
+    server = BackendServer(
+        report.server_id,
+        report.service,
+        report.version,
+        DEFAULT_POOL,
+        report.address,
+        report.slots,
+        report.slots,
+        report.is_draining,
+        report.born_ms,
+    )
+    _check_server(server)
+    return server
+
+
 _VALIDATOR = make_validator(Announcement)
 
 
@@ -118,7 +180,12 @@
         Returns:
             False when the report is stale: a later one of the same backend server,
             or of a later start at its address, was applied before.
+
+        Raises:
+            GuavagapError: BAD_REQUEST when the report names no backend server that may
+                be used. Those that are known are not affected.
         """
+        server = _make_server(report)
         order = (report.born_ms, report.sequence)
         for known in list(self._reports.values()):
             if known.address != report.address and known.server_id != report.server_id:
@@ -129,23 +196,24 @@
                 return False
             if not is_same:
                 self._remove(known.server_id)
+        self._check_count(report.server_id)
         self._reports[report.server_id] = report
         is_draining = self._update_drain_record(report)
-        self._servers[report.server_id] = BackendServer(
-            report.server_id,
-            report.service,
-            report.version,
-            DEFAULT_POOL,
-            report.address,
-            report.slots,
-            report.slots,
-            is_draining,
-            report.born_ms,
-        )
+        self._servers[report.server_id] = server._replace(is_draining=is_draining)
         retention_s = DRAINED_RETENTION_S if is_draining else ttl_s
         self._expires_at_s[report.server_id] = self._clock() + retention_s
         return True
 
+    def _check_count(self, server_id: str) -> None:
+        """Refuse a further backend server where more are known than a VM can have.
+
+        All of them are described in one row, which has to fit into a datagram.
+        """
+        if server_id not in self._servers and len(self._servers) >= MAX_SERVERS:
+            raise GuavagapError(
+                ErrorKind.BAD_REQUEST, f"{MAX_SERVERS} backend servers are known here"
+            )
+
     def _update_drain_record(self, report: ServerReport) -> bool:
         """Update the record of draining; return whether this start is draining.
 
@@ -174,7 +242,11 @@
         self._reports.pop(server_id, None)
 
     def announce(self, server_id: str, announcement: Announcement) -> BackendServer:
-        """Apply or renew an announcement; a renewal ends earlier draining."""
+        """Apply or renew an announcement; a renewal ends earlier draining.
+
+        Raises:
+            GuavagapError: BAD_REQUEST when other nodes cannot be told of it.
+        """
         server = BackendServer(
             server_id,
             announcement["service"],
@@ -184,6 +256,8 @@
             announcement["slots"],
             announcement["connections"],
         )
+        check_server_id(server_id)
+        _check_server(server)
         ttl_s = announcement.get("ttl_s", DEFAULT_TTL_S)
         self._servers[server_id] = server
         self._expires_at_s[server_id] = self._clock() + ttl_s
--- a/guavagap/datagrams.py
+++ b/guavagap/datagrams.py
@@ -27,7 +27,8 @@
 ]
 
 MAC_BYTES = 16
-MAX_DATAGRAM_BYTES = 1400
+# Receivers read no more than this.
+MAX_DATAGRAM_BYTES = 2048
 MAX_MESSAGE_BYTES = 16_384
 COMPRESSION_LEVEL = 1
 # Negative for a stream without a header and a checksum; the MAC covers the datagram.
@@ -44,12 +45,29 @@
 
 
 def seal_datagram(key_bytes: bytes, datagram: Datagram) -> bytes:
-    """Encode and authenticate a datagram; return the packet."""
+    """Encode and authenticate a datagram; return the packet.
+
+    Raises:
+        GuavagapError: MESSAGE_INVALID when it cannot be encoded, or is larger than
+            receivers accept.
+    """
     message = encode_datagram(datagram)
+    if len(message) > MAX_MESSAGE_BYTES:
+        raise _too_large(len(message), MAX_MESSAGE_BYTES)
     compressor = zlib.compressobj(COMPRESSION_LEVEL, zlib.DEFLATED, WINDOW_BITS)
     compressed = compressor.compress(message) + compressor.flush()
     body = min(_PLAIN + message, _COMPRESSED + compressed, key=len)
-    return _mac(key_bytes, body) + body
+    packet = _mac(key_bytes, body) + body
+    if len(packet) > MAX_DATAGRAM_BYTES:
+        raise _too_large(len(packet), MAX_DATAGRAM_BYTES)
+    return packet
+
+
+def _too_large(size_bytes: int, limit_bytes: int) -> GuavagapError:
+    return GuavagapError(
+        ErrorKind.MESSAGE_INVALID,
+        f"datagram of {size_bytes} bytes exceeds {limit_bytes}",
+    )
 
 
 def open_datagram(key_bytes: bytes, packet: bytes) -> Datagram:
--- a/guavagap/declarations.py
+++ b/guavagap/declarations.py
@@ -5,7 +5,9 @@
 
 from typing import NamedTuple
 
+from guavagap.codec import find_problem
 from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.stream_messages import OpenStream
 
 __all__ = [
     "CallerLimits",
@@ -106,21 +108,49 @@
 
 
 def check_declaration(declaration: Declaration) -> None:
-    """Reject a declaration whose references or weights are invalid.
+    """Reject a declaration whose references, weights or figures are invalid.
 
     Raises:
         GuavagapError: CONFIGURATION_REJECTED.
     """
     declared = set(declaration.connection_limits)
     for route in declaration.routes:
+        problem = find_problem(_sample_request(route))
+        if problem is not None:
+            raise GuavagapError(
+                ErrorKind.CONFIGURATION_REJECTED,
+                f"requests of route {route.name!r} cannot be forwarded: {problem}",
+            )
         undeclared = {share.service for share in route.shares} - declared
         if undeclared or not route.shares:
             raise GuavagapError(
                 ErrorKind.CONFIGURATION_REJECTED,
                 f"route {route.name} has undeclared services {sorted(undeclared)}",
             )
-        if sum(share.weight for share in route.shares) <= 0:
+        weights = [share.weight for share in route.shares]
+        if min(weights) < 0 or sum(weights) <= 0:
             raise GuavagapError(
                 ErrorKind.CONFIGURATION_REJECTED,
                 f"route {route.name} has no positive total weight",
             )
+
+
+def _sample_request(route: DeclaredRoute) -> OpenStream:
+    """Return a forwarded request with the route's figures.
+
+    The name of the route is sent with evidence, in a field of the same type as that of
+    the identifier here.
+    """
+    return OpenStream(
+        stream_id=0,
+        server_id=route.name,
+        method=b"GET",
+        target=b"/",
+        headers=(),
+        timeout_ms=int(route.timeout_s * 1000),
+        body=b"",
+        is_complete=True,
+        is_idempotent=route.is_idempotent,
+        priority=route.priority,
+        target_latency_ms=int(route.target_latency_s * 1000),
+    )
--- a/guavagap/declared_configuration.py
+++ b/guavagap/declared_configuration.py
@@ -232,6 +232,10 @@
             return Content(item, value, value.version)
         except GuavagapError as error:
             return Content(item, None, INVALID_RANK, error.detail)
+        except Exception as error:
+            # Another writer's value must not keep the other items from being applied.
+            log.error("item cannot be decoded", key=item.key, exc_info=error)
+            return Content(item, None, INVALID_RANK, repr(error))
 
     def _log_applied(self, changed: list[Content]) -> None:
         log.info(
--- a/guavagap/dialect.py
+++ b/guavagap/dialect.py
@@ -68,7 +68,7 @@
 
 def _read_native_load(headers: Headers) -> int | None:
     for name, value in headers:
-        if name == b"guavagap-load" and value.isdigit():
+        if name == b"guavagap-load" and value.isdigit() and len(value) < 10:
             return int(value)
     return None
 
--- a/guavagap/errors.py
+++ b/guavagap/errors.py
@@ -60,6 +60,7 @@
     LINK_LOST = "link_lost"
     AUTHENTICATION_FAILED = "authentication_failed"
     FRAME_INVALID = "frame_invalid"
+    MESSAGE_INVALID = "message_invalid"
     CONFIGURATION_REJECTED = "configuration_rejected"
     DOCUMENT_INVALID = "document_invalid"
     CONFLICT = "conflict"
@@ -137,6 +138,7 @@
     ErrorKind.LINK_LOST: ErrorSpec(502, _MAY_HAVE_RUN, "warning", EXIT_REFUSED),
     ErrorKind.AUTHENTICATION_FAILED: ErrorSpec(403, _NOT_RUN, "warning", EXIT_REFUSED),
     ErrorKind.FRAME_INVALID: ErrorSpec(502, _MAY_HAVE_RUN, "warning", EXIT_REFUSED),
+    ErrorKind.MESSAGE_INVALID: ErrorSpec(500, _MAY_HAVE_RUN, "error", EXIT_REFUSED),
     ErrorKind.CONFIGURATION_REJECTED: ErrorSpec(500, _NOT_RUN, "error", EXIT_REFUSED),
     ErrorKind.DOCUMENT_INVALID: ErrorSpec(422, _NOT_RUN, "error", EXIT_REFUSED),
     ErrorKind.CONFLICT: ErrorSpec(409, _NOT_RUN, "info", EXIT_REFUSED),
--- a/guavagap/evaluator.py
+++ b/guavagap/evaluator.py
@@ -26,6 +26,7 @@
     decide_next_step,
     find_fault,
 )
+from guavagap.tasks import run_step
 
 __all__ = ["Evaluator"]
 
@@ -54,15 +55,14 @@
         """Send evidence and evaluate rollouts until cancelled."""
         while True:
             await curio.sleep(self._repository.interval_s)
-            await self._repository.restore_lost(self._is_evaluator)
-            await self._repository.start_pending(self._is_evaluator)
+            await run_step(self._repository.restore_lost, self._is_evaluator)
+            await run_step(self._repository.start_pending, self._is_evaluator)
             active_rollouts = self._repository.active_rollouts()
-            await self._publish_store_loss(
-                [*active_rollouts, *self._repository.pending_rollout_services()]
-            )
-            await self._send_local_evidence(active_rollouts)
-            await self._process_domain_evidence(active_rollouts)
-            await self._evaluate(active_rollouts)
+            services = [*active_rollouts, *self._repository.pending_rollout_services()]
+            await run_step(self._publish_store_loss, services)
+            await run_step(self._send_local_evidence, active_rollouts)
+            await run_step(self._process_domain_evidence, active_rollouts)
+            await run_step(self._evaluate, active_rollouts)
 
     def collector_of(self, failure_domain: str) -> str | None:
         """Return the identifier of the node that collects a domain's evidence."""
@@ -216,14 +216,16 @@
         self._update_windows(self._service_windows, active_rollouts, rows)
         self._reset_changed_stages(active_rollouts)
         for service, rollout in active_rollouts.items():
-            if not self._is_evaluator(service):
-                continue
-            decision = self._decide(service, rollout)
-            if decision.finding is not None:
-                await self._publish_notice(service, rollout, decision.reason)
-            if self._has_effect(service, rollout, decision):
-                self._log_evidence(service, decision)
-                await self._repository.write(service, rollout, decision)
+            if self._is_evaluator(service):
+                await run_step(self._evaluate_service, service, rollout)
+
+    async def _evaluate_service(self, service: str, rollout: Rollout) -> None:
+        decision = self._decide(service, rollout)
+        if decision.finding is not None:
+            await self._publish_notice(service, rollout, decision.reason)
+        if self._has_effect(service, rollout, decision):
+            self._log_evidence(service, decision)
+            await self._repository.write(service, rollout, decision)
 
     def _reset_changed_stages(self, active_rollouts: dict[str, Rollout]) -> None:
         """Clear the windows of rollouts whose weight has changed."""
--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -45,7 +45,8 @@
         link: the link on which it was received and on which a reply is sent.
 
     Raises:
-        GuavagapError: FRAME_INVALID, which closes the link.
+        GuavagapError: FRAME_INVALID. The link is closed only for a message that opens
+            a stream.
     """
     raise GuavagapError(
         ErrorKind.FRAME_INVALID, f"unexpected {type(message).__name__} frame"
--- a/guavagap/http_messages.py
+++ b/guavagap/http_messages.py
@@ -36,6 +36,8 @@
 log = get_logger()
 
 MAX_MESSAGE_BODY_BYTES = 4 * 1024 * 1024
+# Without free descriptors, for example, no connection is accepted until one is closed.
+ACCEPT_RETRY_DELAY_S = 0.05
 
 
 class HttpRequest(NamedTuple):
@@ -166,9 +168,29 @@
 
 
 async def accept_connections(listener, scope: TaskScope, serve) -> None:
-    """Accept connections and start ``serve(sock)`` as a task for each."""
+    """Accept connections and start ``serve(sock)`` as a task for each.
+
+    A connection that cannot be accepted does not affect later ones.
+    """
     async with listener:
         while True:
-            sock, _ = await listener.accept()
-            sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-            await scope.spawn(serve, sock)
+            try:
+                sock, _ = await listener.accept()
+            except OSError as error:
+                if listener.fileno() < 0:
+                    raise
+                log.warning("connection not accepted", why=repr(error))
+                await curio.sleep(ACCEPT_RETRY_DELAY_S)
+                continue
+            await _start_serving(sock, scope, serve)
+
+
+async def _start_serving(sock, scope: TaskScope, serve) -> None:
+    try:
+        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    except OSError as error:
+        # The peer has reset the connection meanwhile.
+        log.debug("connection ended", why=repr(error))
+        await sock.close()
+        return
+    await scope.spawn(serve, sock)
--- a/guavagap/link.py
+++ b/guavagap/link.py
@@ -6,6 +6,10 @@
 Frame heads are compressed with one shared state per direction, which shrinks repeated
 headers to a few bytes. Request and response bodies are not compressed. The dialing
 node opens streams and makes calls; the accepting node replies.
+
+Streams carry the requests of callers, so a control message that cannot be sent, decoded
+or handled does not end the link. A link whose peer does not reply is retired: its
+streams go on, and new ones use another link.
 """
 
 import hashlib
@@ -24,6 +28,7 @@
 from guavagap.clock import steady_s
 from guavagap.codec import decode_frame, encode_frame
 from guavagap.errors import ErrorKind, GuavagapError
+from guavagap.logs import get_logger
 from guavagap.messages import Hello, Proof
 from guavagap.stream_messages import (
     OpenStream,
@@ -33,14 +38,19 @@
     StreamReset,
 )
 from guavagap.streams import Stream
+from guavagap.tasks import run_step
 from guavagap.tcp import connect_tcp
 
 __all__ = ["Link", "LinkIdentity", "TrafficCounts", "accept_link", "dial_link"]
 
+log = get_logger()
+
 PROTOCOL_VERSION = 3
 NONCE_BYTES = 16
 MAC_BYTES = 16
 MAX_FRAME_BYTES = 2 * 1024 * 1024
+# Incompressible bytes grow a little when they are compressed.
+MAX_MESSAGE_BYTES = MAX_FRAME_BYTES - 4096
 # Bytes of cancelled sends that are kept for a peer that does not read.
 MAX_UNSENT_BYTES = 2 * MAX_FRAME_BYTES
 HANDSHAKE_TIMEOUT_S = 3.0
@@ -104,12 +114,21 @@
         """Send one frame, after the rest of one whose send was cancelled.
 
         A request that is cancelled in the middle of a frame must not end the other
-        requests of the link. A failed send breaks the channel.
+        requests of the link. A failed send breaks the channel, but a message that
+        cannot be encoded does not.
+
+        Raises:
+            GuavagapError: LINK_LOST; MESSAGE_INVALID when nothing was sent.
         """
         content = message.body if isinstance(message, _BODY_MESSAGES) else b""
         if content:
             message = message._replace(body=b"")
         head = encode_frame(message)
+        if len(head) + len(content) > MAX_MESSAGE_BYTES:
+            raise GuavagapError(
+                ErrorKind.MESSAGE_INVALID,
+                f"{type(message).__name__} of {len(head)} bytes exceeds the limit",
+            )
         async with self._send_lock:
             if self.is_broken:
                 raise GuavagapError(ErrorKind.LINK_LOST, "the link is closed")
@@ -226,6 +245,7 @@
         peer_id: identifier of the other node.
         streams: streams of the forwarded requests in progress, by identifier.
         is_closed: True when nothing more can be sent or received.
+        is_retired: True when the streams in progress are the last ones.
         last_sent_at_s: monotonic time of the latest message sent.
     """
 
@@ -233,6 +253,7 @@
         self.peer_id = peer_id
         self.streams: dict[int, Stream] = {}
         self.is_closed = False
+        self.is_retired = False
         self._channel = channel
         self.last_sent_at_s = steady_s()
         self._pending_calls: dict[int, curio.Event] = {}
@@ -266,7 +287,7 @@
 
         Raises:
             GuavagapError: LINK_LOST when there is no reply within the timeout. The
-                link is then closed, because an unresponsive node may be stopped.
+                link is then retired, because an unresponsive node may be stopped.
         """
         call_id = self.next_id()
         event = self._pending_calls[call_id] = curio.Event()
@@ -275,7 +296,7 @@
                 await self.send(message._replace(call_id=call_id))
                 await event.wait()
         except curio.TaskTimeout:
-            await self.close()
+            await self._retire()
             raise GuavagapError(
                 ErrorKind.LINK_LOST,
                 f"{self.peer_id}: no reply to {type(message).__name__}",
@@ -286,6 +307,16 @@
             raise GuavagapError(ErrorKind.LINK_LOST, f"{self.peer_id}: link closed")
         return self._replies.pop(call_id)
 
+    async def _retire(self) -> None:
+        """Close the link once its streams have ended.
+
+        A peer that is stopped does not end them; their deadlines do.
+        """
+        self.is_retired = True
+        log.info("link retired", peer=self.peer_id, streams=len(self.streams))
+        if not self.streams:
+            await self.close()
+
     def open_stream(self) -> Stream:
         """Open a new stream.
 
@@ -336,8 +367,21 @@
             self._replies[call_id] = message
             await self._pending_calls[call_id].set()
             return
-        if not _is_reply(message):
+        if _is_reply(message):
+            return
+        if isinstance(message, OpenStream):
+            await handle(self, message)
+            return
+        await run_step(self._handle_control_message, handle, message)
+
+    async def _handle_control_message(self, handle, message) -> None:
+        try:
             await handle(self, message)
+        except GuavagapError as error:
+            # What could not be replied to on a closed link needs no report.
+            if error.kind is not ErrorKind.LINK_LOST:
+                raise
+            log.debug("message not answered", peer=self.peer_id, why=str(error))
 
     async def close(self) -> None:
         """Close the connection and end every stream and call."""
--- a/guavagap/links.py
+++ b/guavagap/links.py
@@ -51,6 +51,7 @@
         self._scope = scope
         self._handle = handle
         self._dialed: dict[str, Link] = {}
+        self._retired: set[Link] = set()
         self._dial_locks: dict[str, curio.Lock] = {}
 
     def __len__(self) -> int:
@@ -62,15 +63,22 @@
         Raises:
             GuavagapError: LINK_UNREACHABLE; nothing was sent.
         """
-        link = self._dialed.get(node_id)
-        if link is not None and not link.is_closed:
+        link = self._find_open(node_id)
+        if link is not None:
             return link
         lock = self._dial_locks.setdefault(node_id, curio.Lock())
         async with lock:
-            link = self._dialed.get(node_id)
-            if link is not None and not link.is_closed:
-                return link
-            return await self._dial(node_id)
+            return self._find_open(node_id) or await self._dial(node_id)
+
+    def _find_open(self, node_id: str) -> Link | None:
+        """Return the link that new streams and calls may use, if there is one."""
+        link = self._dialed.get(node_id)
+        if link is None or link.is_closed:
+            return None
+        if link.is_retired:
+            self._retired.add(link)
+            return None
+        return link
 
     async def _dial(self, node_id: str) -> Link:
         row = self._table.get(node_id)
@@ -107,6 +115,8 @@
         finally:
             if outcome and self._dialed.get(node_id) is outcome[0]:
                 del self._dialed[node_id]
+            if outcome:
+                self._retired.discard(outcome[0])
             if not outcome:
                 outcome.append(GuavagapError(ErrorKind.LINK_UNREACHABLE, "cancelled"))
             await opened.set()
@@ -130,18 +140,22 @@
     async def replace_key(self, key_bytes: bytes) -> None:
         """Authenticate new links with another key, and close those of the old one."""
         self._identity = self._identity._replace(mesh_key_bytes=key_bytes)
-        for link in [*self._dialed.values(), *self.accepted]:
+        for link in [*self._dialed.values(), *self._retired, *self.accepted]:
             await link.close()
 
     async def close_idle(self, idle_s: float = IDLE_LINK_S) -> None:
-        """Close the dialed links that have been idle for ``idle_s``."""
-        for link in list(self._dialed.values()):
-            if link.is_idle(idle_s):
+        """Close the dialed links that have been idle for ``idle_s``, and retired ones.
+
+        A retired link is closed when its last stream has ended.
+        """
+        for link in [*self._dialed.values(), *self._retired]:
+            is_finished = link.is_retired and not link.streams
+            if is_finished or link.is_idle(idle_s):
                 await link.close()
 
     async def close_blocked(self) -> None:
         """Close all links to or from nodes whose address is blocked."""
-        for link in [*self._dialed.values(), *self.accepted]:
+        for link in [*self._dialed.values(), *self._retired, *self.accepted]:
             row = self._table.get(link.peer_id)
             if row is not None and parse_address(row.link_address) in self._blocked:
                 await link.close()
--- a/guavagap/membership.py
+++ b/guavagap/membership.py
@@ -15,7 +15,12 @@
 
 from guavagap.addresses import Address, format_address, parse_address
 from guavagap.clock import steady_s
-from guavagap.datagrams import ReplayWindow, open_datagram, seal_datagram
+from guavagap.datagrams import (
+    MAX_DATAGRAM_BYTES,
+    ReplayWindow,
+    open_datagram,
+    seal_datagram,
+)
 from guavagap.errors import GuavagapError
 from guavagap.faults import BlockedAddresses
 from guavagap.key_transfer import KEY_REQUEST, encode_key_offer, is_key_offer
@@ -27,7 +32,7 @@
     choose_indirect_probers,
     choose_probe_target,
 )
-from guavagap.tasks import TaskScope
+from guavagap.tasks import TaskScope, run_step
 from guavagap.tcp import open_udp_socket
 
 __all__ = [
@@ -47,7 +52,6 @@
 # A probe waits for at most two acknowledgement timeouts, less than one interval. If it
 # takes longer than this many intervals, this process was stopped meanwhile.
 PAUSE_DETECTION_INTERVALS = 1.5
-RECEIVE_BYTES = 2048
 
 DatagramHeader = Callable[[], dict]
 
@@ -119,10 +123,10 @@
     async def receive_forever(self, scope: TaskScope) -> None:
         """Receive and process datagrams until cancelled."""
         while True:
-            packet, sender = await self._sock.recvfrom(RECEIVE_BYTES)
+            packet, sender = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             self.counts["received_bytes"] += len(packet)
             self.counts["received_datagrams"] += 1
-            await self._receive(packet, Address(*sender[:2]), scope)
+            await run_step(self._receive, packet, Address(*sender[:2]), scope)
 
     async def _receive(self, packet: bytes, sender: Address, scope) -> None:
         if packet == KEY_REQUEST:
@@ -168,6 +172,10 @@
     def merge(self, row: Member, should_gossip: bool = True) -> bool:
         """Merge a row and log a change of state; see :meth:`MemberTable.merge`."""
         previous = self.table.get(row.node_id)
+        if previous is None and not _has_valid_addresses(row):
+            self.counts["invalid_rows"] += 1
+            log.warning("member row refused", member=row.node_id, why="address")
+            return False
         if not self.table.merge(row, should_gossip):
             return False
         if previous is None or previous.state != row.state:
@@ -242,7 +250,28 @@
             members_digest=self.table.digest,
             **self._header(),
         )
-        await self._send_packet(seal_datagram(self._key_bytes, datagram), address)
+        await self._send_packet(self._seal(datagram), address)
+
+    def _seal(self, datagram: Datagram) -> bytes:
+        """Return the packet of a datagram, without the rows that do not fit into it.
+
+        Their receivers detect by the digest of the table that rows are missing.
+        """
+        while True:
+            try:
+                return seal_datagram(self._key_bytes, datagram)
+            except GuavagapError as error:
+                if not datagram.members:
+                    raise
+                largest = max(datagram.members, key=lambda row: len(repr(row)))
+                self.counts["rows_left_out"] += 1
+                log.error(
+                    "row left out of datagram",
+                    member=largest.node_id,
+                    why=error.detail,
+                )
+            rows = tuple(row for row in datagram.members if row is not largest)
+            datagram = datagram._replace(members=rows)
 
     async def _send_packet(self, packet: bytes, address: Address) -> None:
         if address in self._blocked:
@@ -296,7 +325,7 @@
         """Probe one member per interval until cancelled."""
         while True:
             started_s = steady_s()
-            await self._probe_once(started_s)
+            await run_step(self._probe_once, started_s)
             self.table.reap_departed()
             left_s = self.probe_interval_s - (steady_s() - started_s)
             await curio.sleep(max(left_s, 0) * random.uniform(0.9, 1.1))
@@ -393,6 +422,15 @@
         return self._last_contact_s.get(row.failure_domain, 0) < since_s
 
 
+def _has_valid_addresses(row: Member) -> bool:
+    try:
+        parse_address(row.link_address)
+        parse_address(row.mesh_address)
+    except ValueError:
+        return False
+    return True
+
+
 async def _wait_for(event: curio.Event) -> bool:
     await event.wait()
     return True
--- a/guavagap/metrics.py
+++ b/guavagap/metrics.py
@@ -5,7 +5,9 @@
 
 from aioprometheus import Counter, Gauge, Registry, render
 
+from guavagap.codec import dropped_items
 from guavagap.declarations import UnknownValue
+from guavagap.tasks import failed_steps
 
 __all__ = ["NodeMetrics"]
 
@@ -62,6 +64,17 @@
         self._set_gauge(
             "process_resident_bytes", "Resident memory.", read_resident_bytes()
         )
+        for step, value in failed_steps.items():
+            self._set_counter(
+                "failed_steps_total", "Failed steps of loops.", value, step=step
+            )
+        for message, value in dropped_items.items():
+            self._set_counter(
+                "message_items_dropped_total",
+                "Items that messages could not hold.",
+                value,
+                message=message,
+            )
         collections = sum(generation["collections"] for generation in gc.get_stats())
         self._set_counter(
             "garbage_collections_total", "Runs of the collector.", collections
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -44,7 +44,7 @@
 from guavagap.settings import Settings
 from guavagap.store_positions import describe_epoch
 from guavagap.stream_messages import UNKNOWN_CONDITION, Condition
-from guavagap.tasks import TaskScope, open_task_scope
+from guavagap.tasks import TaskScope, open_task_scope, run_step
 
 __all__ = ["Node", "open_node"]
 
@@ -292,7 +292,17 @@
         return response._replace(condition=backend_proxy.condition())
 
     async def apply_report(self, report: ServerReport) -> None:
-        """Apply a heartbeat of a local backend server."""
+        """Apply a heartbeat of a local backend server.
+
+        Raises:
+            GuavagapError: BAD_REQUEST when it names no backend server of this VM.
+        """
+        service = self.settings.service
+        if service and report.service != service:
+            raise GuavagapError(
+                ErrorKind.BAD_REQUEST,
+                f"service {report.service[:80]!r} is not that of this VM",
+            )
         if not self.announcements.report(report, self.settings.report_ttl_s):
             log.info("stale heartbeat ignored", **report._asdict())
             return
@@ -352,11 +362,11 @@
         """Expire announcements, close idle links and send requested gossip."""
         while True:
             await curio.sleep(HOUSEKEEPING_INTERVAL_S)
-            await self.apply_announcements()
-            await self.links.close_idle()
+            await run_step(self.apply_announcements)
+            await run_step(self.links.close_idle)
             if self._is_gossip_requested:
                 self._is_gossip_requested = False
-                await self.membership.gossip_now(MEMBER_GOSSIP_FAN_OUT)
+                await run_step(self.membership.gossip_now, MEMBER_GOSSIP_FAN_OUT)
 
     async def sync_configuration(self) -> None:
         """Apply the newest available configuration, then become ready."""
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -40,6 +40,7 @@
 from guavagap.settings import Settings
 from guavagap.store_positions import BEGINNING
 from guavagap.store_relay import StoreRelay
+from guavagap.tasks import run_step
 
 __all__ = [
     "OperatorAdapter",
@@ -279,9 +280,9 @@
         while True:
             await curio.sleep(INTRODUCE_INTERVAL_S)
             if self._entries and not self._node.table.has_alive_peer():
-                await self._introduce()
+                await run_step(self._introduce)
             if self._adapter.store.is_unavailable or self._is_restore_recent():
-                await self._ping_departed_members()
+                await run_step(self._ping_departed_members)
 
     async def _ping_departed_members(self) -> None:
         """Ping some recently departed members.
--- a/guavagap/platform/decode.py
+++ b/guavagap/platform/decode.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 from enum import Enum
 from typing import TypeVar
 
@@ -34,6 +35,10 @@
 ORDER_PREFIX = "op/rollout/"
 STATUS_PREFIX = "status/rollout/"
 MAX_SLOTS = 60_000
+# The start of the year 10000.
+MAX_START_TIME_MS = 253_402_300_800_000
+# An error names the value that was refused, which may be of any length.
+MAX_DETAIL_LENGTH = 200
 _READY, _DRAINING = "ready", "draining"
 
 Field = TypeVar("Field")
@@ -64,10 +69,23 @@
     return GuavagapError(ErrorKind.CONFIGURATION_REJECTED, f"{key}: {error!r}")
 
 
+# What the functions below raise for a value of another type or out of range.
+_DECODING_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+
 def _parse_object(body: bytes) -> dict:
     value = json.loads(body)
     if not isinstance(value, dict):
         raise ValueError(f"expected an object, got {type(value).__name__}")
+    # JSON can spell text that is not valid Unicode, in any of its values and names.
+    json.dumps(value, ensure_ascii=False).encode()
     return value
 
 
@@ -84,7 +102,10 @@
 
 
 def _float_field(value: dict, name: str) -> float:
-    return float(_typed_field(value, name, int, float))
+    number = float(_typed_field(value, name, int, float))
+    if not math.isfinite(number):
+        raise ValueError(f"{name} is not finite")
+    return number
 
 
 def _int_field(value: dict, name: str) -> int:
@@ -104,7 +125,7 @@
             return _decode_configuration(_parse_object(item.body))
         if item.key.startswith(ORDER_PREFIX):
             return _decode_order(_parse_object(item.body))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except _DECODING_ERRORS as error:
         raise _configuration_rejected(item.key, error) from None
     return None
 
@@ -217,16 +238,25 @@
             slots,
             state == _DRAINING,
             _float_field(value, "coldRemainingS"),
-            # The start time of the backend server in Unix milliseconds.
-            _int_field(value, "born") if "born" in value else 0,
+            _start_time_ms(value),
             _int_field(value, "seq"),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except _DECODING_ERRORS as error:
         raise GuavagapError(
-            ErrorKind.BAD_REQUEST, f"invalid heartbeat: {error!r}"
+            ErrorKind.BAD_REQUEST, f"invalid heartbeat: {error!r}"[:MAX_DETAIL_LENGTH]
         ) from None
 
 
+def _start_time_ms(value: dict) -> int:
+    """Return the start time in Unix milliseconds, 0 if the heartbeat does not tell."""
+    if "born" not in value:
+        return 0
+    start_time_ms = _int_field(value, "born")
+    if start_time_ms not in range(MAX_START_TIME_MS):
+        raise ValueError(f"invalid start time {start_time_ms}")
+    return start_time_ms
+
+
 def encode_status(service: str, rollout: Rollout) -> tuple[str, bytes]:
     """Return the key and value that report the state of a rollout to the operator."""
     states: dict[str, str] = {"completed": "completed", "rolled_back": "rolled_back"}
--- a/guavagap/platform/headers.py
+++ b/guavagap/platform/headers.py
@@ -14,6 +14,8 @@
 LOAD_HEADER = b"x-server-load"
 LIMIT_HEADER = b"server-limit"
 LEAVING_HEADER = b"server-leaving"
+# Three numbers, each of which fits into the fields of links by far.
+MAX_LOAD_LENGTH = 40
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 BAD_GATEWAY_STATUS = 502
@@ -29,6 +31,8 @@
     for name, value in headers:
         if name == LOAD_HEADER:
             parts = value.split(b",")
+            if len(value) > MAX_LOAD_LENGTH:
+                return None
             if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
                 return int(parts[0]) + int(parts[1])
     return None
--- a/guavagap/platform/node_api.py
+++ b/guavagap/platform/node_api.py
@@ -3,7 +3,8 @@
 import json
 from urllib.parse import unquote
 
-from guavagap.errors import GuavagapError
+from guavagap.announcements import check_server_id
+from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.http_messages import (
     HttpRequest,
     HttpResponse,
@@ -49,8 +50,7 @@
         if request.method == b"PUT":
             return await _apply_heartbeat(node, server_id, request.body)
         if request.method == b"DELETE":
-            await node.drain_server(server_id)
-            return _json_response(200, {})
+            return await _drain_server(node, server_id)
     return _json_response(
         404, {"error": f"not found: {request.method.decode()} {path}"}
     )
@@ -58,11 +58,22 @@
 
 async def _apply_heartbeat(node, server_id: str, body: bytes) -> HttpResponse:
     try:
-        report = decode_report(server_id, body)
+        await node.apply_report(decode_report(server_id, body))
     except GuavagapError as error:
-        log.warning("heartbeat rejected", server=server_id, why=error.detail)
+        if error.kind is not ErrorKind.BAD_REQUEST:
+            raise
+        log.warning("heartbeat rejected", server=server_id[:80], why=error.detail)
         return _json_response(400, {"error": error.detail})
-    await node.apply_report(report)
+    return _json_response(200, {})
+
+
+async def _drain_server(node, server_id: str) -> HttpResponse:
+    try:
+        check_server_id(server_id)
+    except GuavagapError as error:
+        log.warning("leaving rejected", server=server_id[:80], why=error.detail)
+        return _json_response(400, {"error": error.detail})
+    await node.drain_server(server_id)
     return _json_response(200, {})
 
 
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -29,10 +29,12 @@
 from guavagap.snapshot import CompiledRoute, find_route
 from guavagap.store_positions import describe_epoch
 
-__all__ = ["Proxy"]
+__all__ = ["Proxy", "request_timeout_s"]
 
 log = get_logger()
 
+# A longer number of milliseconds is more than any route allows.
+MAX_TIMEOUT_DIGITS = 15
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 MAX_IDEMPOTENCY_KEY_BYTES = 256
 # Used when no backend server has refused the request, so that no backlog is known;
@@ -187,7 +189,7 @@
         route = find_route(snapshot, host_name.lower(), path, head.method)
         if route is None:
             raise GuavagapError(ErrorKind.NO_ROUTE, "no route matches this request")
-        deadline_s = started_s + _request_timeout_s(head, route, self._dialect.timeout)
+        deadline_s = started_s + request_timeout_s(head, route, self._dialect.timeout)
         if deadline_s > node.drain_deadline_s:
             raise GuavagapError(
                 ErrorKind.DRAINING,
@@ -284,11 +286,13 @@
     return {"retry_after_s": round(error.retry_after_s, 3)}
 
 
-def _request_timeout_s(head: RequestHead, route: CompiledRoute, name: bytes) -> float:
+def request_timeout_s(head: RequestHead, route: CompiledRoute, name: bytes) -> float:
     """Return the timeout of the route or of the caller, whichever is shorter."""
     value = header_value(head.headers, name)
     if value is None:
         return route.timeout_s
     if not value.isdigit():
         raise GuavagapError(ErrorKind.BAD_REQUEST, f"{name.decode()} is not a number")
+    if len(value) > MAX_TIMEOUT_DIGITS:
+        return route.timeout_s
     return min(route.timeout_s, int(value) / 1000)
--- a/guavagap/store_relay.py
+++ b/guavagap/store_relay.py
@@ -20,7 +20,7 @@
 from guavagap.members import MemberTable
 from guavagap.metadata_store import Listing, MetadataStore
 from guavagap.store_positions import StorePosition
-from guavagap.tasks import TaskScope
+from guavagap.tasks import TaskScope, run_step
 
 __all__ = ["StoreRelay"]
 
@@ -163,13 +163,16 @@
                 log.info("store history lost, listing all items", why=error.detail)
                 listing = await self._source.list_prefix(ALL_KEYS_PREFIX)
         self._record_store_contact(listing)
-        self._on_listing(listing)
+        await run_step(self._report_listing, listing)
         is_changed = await self._mirror(listing)
         if is_changed:
             await curio.sleep(WATCH_PAUSE_S)
         elif listing.items:
             await curio.sleep(ENTRY_WATCH_PAUSE_S)
 
+    async def _report_listing(self, listing: Listing) -> None:
+        self._on_listing(listing)
+
     async def _wait_for_changes(self, after: StorePosition) -> Listing:
         """Watch for changes, or poll them while the store is unreachable."""
         if self._is_store_unreachable:
--- a/guavagap/tasks.py
+++ b/guavagap/tasks.py
@@ -1,5 +1,6 @@
-"""Scopes that own the background tasks of a process."""
+"""Scopes that own the background tasks of a process, and the steps of their loops."""
 
+from collections import Counter
 from contextlib import asynccontextmanager
 
 import curio
@@ -7,13 +8,34 @@
 from guavagap.errors import GuavagapError, error_spec
 from guavagap.logs import get_logger
 
-__all__ = ["TaskScope", "open_task_scope"]
+__all__ = ["TaskScope", "failed_steps", "open_task_scope", "run_step"]
 
 log = get_logger()
 
+# Number of failed steps of loops, by the name of the step.
+failed_steps: Counter[str] = Counter()
+
 RESTART_DELAY_S = 1.0
 
 
+async def run_step(function, *args) -> bool:
+    """Run one step of a loop that serves more than what this step is about.
+
+    A failure is logged and counted, and does not end the loop.
+
+    Returns:
+        Whether the step has succeeded.
+    """
+    try:
+        await function(*args)
+    except Exception as error:
+        name = getattr(function, "__qualname__", repr(function))
+        failed_steps[name] += 1
+        log.error("step failed", step=name, exc_info=error)
+        return False
+    return True
+
+
 class TaskScope:
     """A set of running tasks; a failure is logged and does not affect other tasks."""
 
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -5,7 +5,12 @@
 import testtools
 from hypothesis import given, strategies
 
-from guavagap.declarations import Declaration, ServiceShare, UnknownValue
+from guavagap.declarations import (
+    Declaration,
+    ServiceShare,
+    UnknownValue,
+    check_declaration,
+)
 from guavagap.errors import ErrorKind, GuavagapError
 from guavagap.metadata_store import MirrorItem
 from guavagap.platform.decode import decode_item, decode_report, encode_status
@@ -92,6 +97,11 @@
     return MirrorItem(key, StorePosition(1, 5), json.dumps(value).encode())
 
 
+def decode_and_check(configuration: dict) -> None:
+    """Do with a configuration what a node does before it applies it."""
+    check_declaration(decode_item(item(configuration)))
+
+
 class ConfigurationTests(testtools.TestCase):
     def test_configuration_is_decoded(self):
         declaration = decode_item(item(CONFIGURATION))
@@ -128,6 +138,33 @@
                 error = self.assertRaises(GuavagapError, decode_item, item(changed))
                 self.assertEqual(ErrorKind.CONFIGURATION_REJECTED, error.kind)
 
+    def test_values_that_requests_cannot_carry_reject_the_configuration(self):
+        """A route whose requests fail on each link would be worse than an older one."""
+        strange = {
+            "priority": (-1, 256, 10**400, 1.5),
+            "timeoutS": (float("nan"), float("inf"), 1e300, 10**400, -1),
+            "targetLatencyS": (float("nan"), float("inf"), 1e300, -1),
+            "host": ("\ud83d",),
+            "prefix": ("/\ud83d/",),
+            "trafficSplit": ([{"service": "s1", "weight": -1}], ["s1"], [[]]),
+        }
+        for name, values in strange.items():
+            for value in values:
+                changed = configuration_with(**{name: value})
+                error = self.assertRaises(GuavagapError, decode_and_check, changed)
+                self.assertEqual(ErrorKind.CONFIGURATION_REJECTED, error.kind)
+        self.assertIsNone(decode_and_check(CONFIGURATION))
+
+    def test_deeply_nested_values_are_refused_with_their_error_kind(self):
+        for body in (b"[" * 100_000, b'{"a":' * 100_000):
+            for key in ("op/config", "op/rollout/s1"):
+                error = self.assertRaises(
+                    GuavagapError,
+                    decode_item,
+                    MirrorItem(key, StorePosition(1, 1), body),
+                )
+                self.assertEqual(ErrorKind.CONFIGURATION_REJECTED, error.kind)
+
     @given(strategies.binary(max_size=60))
     def test_malformed_bytes_are_refused_with_their_error_kind(self, body):
         for key in ("op/config", "op/rollout/s1"):
@@ -170,6 +207,33 @@
             error = self.assertRaises(GuavagapError, decode_report, "i-1", body)
             self.assertEqual(ErrorKind.BAD_REQUEST, error.kind)
 
+    def test_values_that_requests_cannot_carry_reject_the_configuration(self):
+        """A route whose requests fail on each link would be worse than an older one."""
+        strange = {
+            "priority": (-1, 256, 10**400, 1.5),
+            "timeoutS": (float("nan"), float("inf"), 1e300, 10**400, -1),
+            "targetLatencyS": (float("nan"), float("inf"), 1e300, -1),
+            "host": ("\ud83d",),
+            "prefix": ("/\ud83d/",),
+            "trafficSplit": ([{"service": "s1", "weight": -1}], ["s1"], [[]]),
+        }
+        for name, values in strange.items():
+            for value in values:
+                changed = configuration_with(**{name: value})
+                error = self.assertRaises(GuavagapError, decode_and_check, changed)
+                self.assertEqual(ErrorKind.CONFIGURATION_REJECTED, error.kind)
+        self.assertIsNone(decode_and_check(CONFIGURATION))
+
+    def test_deeply_nested_values_are_refused_with_their_error_kind(self):
+        for body in (b"[" * 100_000, b'{"a":' * 100_000):
+            for key in ("op/config", "op/rollout/s1"):
+                error = self.assertRaises(
+                    GuavagapError,
+                    decode_item,
+                    MirrorItem(key, StorePosition(1, 1), body),
+                )
+                self.assertEqual(ErrorKind.CONFIGURATION_REJECTED, error.kind)
+
     @given(strategies.binary(max_size=60))
     def test_malformed_bytes_are_refused_with_their_error_kind(self, body):
         error = self.assertRaises(GuavagapError, decode_report, "i-1", body)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -35,6 +35,11 @@
     def test_response_of_another_server_tells_nothing(self):
         self.assertEqual(NO_STATEMENT, read(421, server_limit=b"3"))
 
+    def test_malformed_load_tells_nothing(self):
+        for value in (b"", b"1,2", b"-1,0,8", b"1,x,8", b"9" * 5000 + b",0,8"):
+            headers = [(b"x-server-load", value)]
+            self.assertIsNone(PLATFORM_DIALECT.read_load(headers))
+
     def test_limit_on_a_link(self):
         for limit_per_s in (None, NO_LIMIT, 0.001, 11.7):
             self.assertEqual(limit_per_s, from_millihertz(to_millihertz(limit_per_s)))
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,6 +1,7 @@
 """Tests of links, datagrams and their codec, also against malformed input."""
 
 import itertools
+import random
 from collections import Counter
 
 import curio
@@ -251,6 +252,81 @@
 
         self.run_in_scope(case)
 
+    async def serve_failing(self, sock):
+        """Reply to the first message only after a failure to handle one."""
+
+        async def handle(link, message):
+            if message.base_epoch == 1:
+                raise UnicodeEncodeError("utf-8", "\ud83d", 0, 1, "surrogate")
+            await self.reply_to_request(link, message)
+
+        async with accept_link(sock, LinkIdentity("server", KEY), _counts()) as link:
+            await link.run(handle)
+
+    def test_control_message_that_cannot_be_handled_does_not_end_the_streams(self):
+        """review/3: a reply that failed ended the requests of the link."""
+
+        async def case(scope):
+            address = await self.listen(scope, self.serve_failing)
+            identity = LinkIdentity("client", KEY)
+            async with dial_link(address, identity, _counts()) as link:
+                reader = await curio.spawn(self.run_until_closed, link, daemon=True)
+                stream = link.open_stream()
+                await link.send(DeltaRequest(0, 1))
+                reply = await link.call(DeltaRequest(0, 2), 5.0)
+                self.assertEqual(b"x", reply.compressed)
+                self.assertIsNone(stream.reset)
+                self.assertFalse(link.is_closed)
+                await reader.cancel(blocking=False)
+
+        self.run_in_scope(case)
+
+    def test_message_that_cannot_be_encoded_does_not_end_the_link(self):
+        async def case(scope):
+            address = await self.listen(scope, self.serve_echo)
+            identity = LinkIdentity("client", KEY)
+            async with dial_link(address, identity, _counts()) as link:
+                reader = await curio.spawn(self.run_until_closed, link, daemon=True)
+                for message in (
+                    StreamReset(9, "\ud83d", "", True),
+                    DeltaReply(1, False, random.randbytes(3 * 1024 * 1024), 1),
+                ):
+                    await self.assert_error_kind(
+                        ErrorKind.MESSAGE_INVALID, link.send(message)
+                    )
+                reply = await link.call(DeltaRequest(0, 1), 5.0)
+                self.assertEqual(b"x", reply.compressed)
+                await reader.cancel(blocking=False)
+
+        self.run_in_scope(case)
+
+    def test_call_without_a_reply_does_not_end_the_streams(self):
+        """A node that does not reply to a call may still run its requests."""
+
+        async def case(scope):
+            async def serve(sock):
+                identity = LinkIdentity("server", KEY)
+                async with accept_link(sock, identity, _counts()) as link:
+                    await link.run(self.ignore)
+
+            address = await self.listen(scope, serve)
+            identity = LinkIdentity("client", KEY)
+            async with dial_link(address, identity, _counts()) as link:
+                reader = await curio.spawn(self.run_until_closed, link, daemon=True)
+                stream = link.open_stream()
+                await self.assert_error_kind(
+                    ErrorKind.LINK_LOST, link.call(DeltaRequest(0, 1), 0.1)
+                )
+                self.assertIsNone(stream.reset)
+                self.assertFalse(link.is_closed)
+                self.assertTrue(link.is_retired)
+                await reader.cancel(blocking=False)
+
+        self.run_in_scope(case)
+
+    async def ignore(self, link, message):
+        return None
+
     def test_link_is_idle_only_without_calls_and_streams(self):
         async def case(scope):
             address = await self.listen(scope, self.serve_echo)
