Keep what a node has acknowledged as left for its next process

Cause: the record of what had left lived in the memory of one process. It was also compared by the node's wall clock with the start time of the server.

Why this works: a departure is a start, by the times that the server itself tells. It is acknowledged once the store keeps it, or witnesses while the store cannot, and a process that starts learns it from both before it announces a ready server. The write is conditional, so a delayed one of an earlier process takes no later one's place.

--- a/guavagap/announcements.py
+++ b/guavagap/announcements.py
@@ -5,18 +5,17 @@
 """
 
 import json
-import time
-from collections import OrderedDict
-from typing import Annotated, NamedTuple
+from typing import Annotated, Iterable, NamedTuple
 
 from expression import Error, Ok, Result
 from typing_extensions import NotRequired, TypedDict
 
 from guavagap.addresses import parse_address
 from guavagap.codec import find_problem
+from guavagap.departures import ANY_START, DepartedStarts, ReportOrder
 from guavagap.documents import Name, VersionName
 from guavagap.errors import ErrorKind, GuavagapError
-from guavagap.messages import BackendServer
+from guavagap.messages import BackendServer, Departure
 from guavagap.validation import STRICT, InvalidValueError, Limits, make_validator
 
 __all__ = [
@@ -31,17 +30,12 @@
 DEFAULT_POOL = "main"
 DEFAULT_TTL_S = 15.0
 DRAINED_RETENTION_S = 60.0
-MAX_DRAIN_RECORDS = 200
 MAX_NAME_LENGTH = 200
 # A VM has one; during a replacement it may have two, and other writers' remain for a
 # while.
 MAX_SERVERS = 16
 
 
-def _wall_clock_ms() -> int:
-    return time.time_ns() // 1_000_000
-
-
 class Announcement(TypedDict):
     """Registration of a backend server.
 
@@ -163,13 +157,15 @@
 
     Args:
         clock: returns seconds of a steady clock.
-        wall_clock_ms: returns Unix milliseconds.
+
+    Attributes:
+        departed: departures of backend servers that report, or were reported.
     """
 
-    def __init__(self, clock, wall_clock_ms=_wall_clock_ms):
+    def __init__(self, clock):
         self._clock = clock
-        self._wall_clock_ms = wall_clock_ms
-        self._drained_at_ms: OrderedDict[str, int] = OrderedDict()
+        self.departed = DepartedStarts(clock)
+        self._is_stopping = False
         self._servers: dict[str, BackendServer] = {}
         self._expires_at_s: dict[str, float] = {}
         self._reports: dict[str, ServerReport] = {}
@@ -179,26 +175,27 @@
 
         Returns:
             False when the report is stale: a later one of the same backend server,
-            or of a later start at its address, was applied before.
+            or of a later start at its address, was applied before; or when it may be
+            one of a start that has departed.
 
         Raises:
             GuavagapError: BAD_REQUEST when the report names no backend server that may
                 be used. Those that are known are not affected.
         """
         server = _make_server(report)
-        order = (report.born_ms, report.sequence)
-        for known in list(self._reports.values()):
-            if known.address != report.address and known.server_id != report.server_id:
-                continue
-            is_same = known.server_id == report.server_id
-            known_order = (known.born_ms, known.sequence)
-            if known_order > order if is_same else known.born_ms > report.born_ms:
-                return False
-            if not is_same:
+        if not self._is_current(report):
+            if report.is_draining and report.born_ms:
+                # Final for that start, although a later one is known.
+                self.departed.record(Departure(report.server_id, report.born_ms))
+            return False
+        for known in self._reports_at(report.address):
+            if known.server_id != report.server_id:
                 self._remove(known.server_id)
         self._check_count(report.server_id)
+        if report.is_draining:
+            self.departed.record(Departure(report.server_id, report.born_ms))
+        is_draining = self._is_stopping or self._has_departed(report)
         self._reports[report.server_id] = report
-        is_draining = self._update_drain_record(report)
         self._servers[report.server_id] = server._replace(is_draining=is_draining)
         retention_s = DRAINED_RETENTION_S if is_draining else ttl_s
         self._expires_at_s[report.server_id] = self._clock() + retention_s
@@ -214,27 +211,67 @@
                 ErrorKind.BAD_REQUEST, f"{MAX_SERVERS} backend servers are known here"
             )
 
-    def _update_drain_record(self, report: ServerReport) -> bool:
-        """Update the record of draining; return whether this start is draining.
+    def _reports_at(self, address: str) -> list[ServerReport]:
+        return [known for known in self._reports.values() if known.address == address]
+
+    def _is_current(self, report: ServerReport) -> bool:
+        """Return whether a report says how its backend server is now.
 
-        Draining is final for a start: later reports of the same start do not end it,
-        even if it was recorded before this process knew the backend server.
+        A departure is final for its start. What cannot be told from a start that has
+        departed is believed once its reports go on.
         """
+        server_id, born_ms = report.server_id, report.born_ms
         if report.is_draining:
-            self._record_drain(report.server_id)
-            return True
-        drained_at_ms = self._drained_at_ms.get(report.server_id)
-        if drained_at_ms is None:
-            return False
-        if report.born_ms > drained_at_ms:
-            del self._drained_at_ms[report.server_id]
-            return False
-        return True
+            return not self._is_stale(report)
+        order = ReportOrder(server_id, born_ms, report.sequence)
+        is_sustained = self.departed.record_sighting(order)
+        is_final = born_ms and self.departed.has_departed(server_id, born_ms)
+        if not is_final and self.departed.is_doubtful(server_id, born_ms):
+            if not is_sustained:
+                return False
+            self.departed.withdraw(server_id)
+        return not self._is_stale(report, is_sustained)
+
+    def _is_stale(self, report: ServerReport, is_sustained: bool = False) -> bool:
+        """Return whether what is known is later than a report.
+
+        Args:
+            report: the report.
+            is_sustained: whether the reports of its start go on. They then show that
+                a start which has departed was an earlier one, whatever its time is.
+        """
+        known = self._reports.get(report.server_id)
+        if known is not None and known.born_ms == report.born_ms:
+            return known.sequence > report.sequence
+        others = self._reports_at(report.address)
+        if known is not None:
+            others.append(known)
+        return any(
+            other.born_ms > report.born_ms
+            and not (is_sustained and self._has_departed(other))
+            for other in others
+        )
+
+    def _has_departed(self, report: ServerReport) -> bool:
+        return self.departed.has_departed(report.server_id, report.born_ms)
+
+    def adopt_departures(self, departures: Iterable[Departure]) -> bool:
+        """Apply departures that an earlier process of this node has acknowledged.
 
-    def _record_drain(self, server_id: str) -> None:
-        self._drained_at_ms[server_id] = self._wall_clock_ms()
-        if len(self._drained_at_ms) > MAX_DRAIN_RECORDS:
-            self._drained_at_ms.popitem(last=False)
+        Returns:
+            Whether any of them is new.
+        """
+        is_changed = False
+        for departure in departures:
+            is_changed |= self.departed.record(departure)
+            server = self._servers.get(departure.server_id)
+            if server is not None and server.born_ms == departure.born_ms:
+                self._mark_draining(server)
+        return is_changed
+
+    def _mark_draining(self, server: BackendServer) -> None:
+        self._servers[server.server_id] = server._replace(is_draining=True)
+        self._expires_at_s[server.server_id] = self._clock() + DRAINED_RETENTION_S
 
     def _remove(self, server_id: str) -> None:
         self._servers.pop(server_id, None)
@@ -264,19 +301,20 @@
         return server
 
     def drain(self, server_id: str) -> bool:
-        """Mark a backend server as draining; return False when it is unknown."""
-        self._record_drain(server_id)
+        """Record a departure; return False when the backend server is unknown."""
         server = self._servers.get(server_id)
         if server is None:
+            self.departed.record(Departure(server_id, ANY_START))
             return False
-        self._servers[server_id] = server._replace(is_draining=True)
-        self._expires_at_s[server_id] = self._clock() + DRAINED_RETENTION_S
+        self.departed.record(Departure(server_id, server.born_ms))
+        self._mark_draining(server)
         return True
 
     def drain_all(self) -> None:
-        """Mark every backend server as draining."""
-        for server_id in list(self._servers):
-            self.drain(server_id)
+        """Mark every backend server as draining from now on, though none departs."""
+        self._is_stopping = True
+        for server in list(self._servers.values()):
+            self._mark_draining(server)
 
     def servers(self) -> tuple[BackendServer, ...]:
         """Return the backend servers whose announcements have not expired."""
--- a/guavagap/deployment.py
+++ b/guavagap/deployment.py
@@ -23,6 +23,9 @@
         router_class: class that selects the targets of requests.
         configuration: the configuration of the node and its routing snapshot.
         mesh_key_bytes: key that authenticates links and datagrams.
+        must_learn_departures: whether a starting node has to learn which backend
+            servers its earlier processes knew to leave; see
+            :mod:`guavagap.departures`.
         is_key_shared: whether nodes may send the key to members that request it.
         call_counts: number of platform calls by kind.
         history_era: number of the store's history, one higher after each restore from a
@@ -37,6 +40,7 @@
     leave_grace_s: float
     router_class: type
     mesh_key_bytes: bytes
+    must_learn_departures: bool = False
     is_key_shared: bool = False
     call_counts: Counter[str]
     history_era: int = 0
@@ -58,5 +62,12 @@
     async def sync_configuration(self, node) -> None:
         """Return after the newest available configuration has been applied."""
 
+    async def confirm_departures(self, node) -> bool:
+        """Return whether more than this process knows of its departures.
+
+        Where drains end with a new announcement, nothing has to outlive the process.
+        """
+        return True
+
     async def start(self, node) -> None:
         """Start the roles of the node that this kind of deployment needs."""
--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -140,8 +140,11 @@
 @handle_message.register
 async def _(message: MembersRequest, node, link) -> None:
     node.membership.merge(message.own)
+    # The sender relies on that, also where a later row of it is known.
+    node.membership.departures.record_row(message.own)
     rows = node.table.differing_rows(message.bucket_digests)
-    await link.send(MembersReply(message.call_id, tuple(rows)))
+    departures = node.membership.departures.of_node(message.own.node_id)
+    await link.send(MembersReply(message.call_id, tuple(rows), departures))
 
 
 @handle_message.register
--- a/guavagap/link.py
+++ b/guavagap/link.py
@@ -127,7 +127,8 @@
         if len(head) + len(content) > MAX_MESSAGE_BYTES:
             raise GuavagapError(
                 ErrorKind.MESSAGE_INVALID,
-                f"{type(message).__name__} of {len(head)} bytes exceeds the limit",
+                f"{type(message).__name__} of {len(head) + len(content)} bytes"
+                " exceeds the limit",
             )
         async with self._send_lock:
             if self.is_broken:
--- a/guavagap/membership.py
+++ b/guavagap/membership.py
@@ -21,6 +21,7 @@
     open_datagram,
     seal_datagram,
 )
+from guavagap.departures import DepartureLog
 from guavagap.errors import GuavagapError
 from guavagap.faults import BlockedAddresses
 from guavagap.key_transfer import KEY_REQUEST, encode_key_offer, is_key_offer
@@ -91,6 +92,7 @@
         self._is_key_shared = is_key_shared
         self._blocked = blocked
         self.table = table
+        self.departures = DepartureLog(steady_s)
         self.peer_addresses = peer_addresses
         self.counts: Counter[str] = Counter()
         self.probe_interval_s = probe_interval_s
@@ -178,6 +180,7 @@
             return False
         if not self.table.merge(row, should_gossip):
             return False
+        self.departures.record_row(row)
         if previous is None or previous.state != row.state:
             state = MemberState(self.table.get(row.node_id).state).name.lower()
             log.info("member state", member=row.node_id, state=state)
--- a/guavagap/messages.py
+++ b/guavagap/messages.py
@@ -15,6 +15,7 @@
     "DeltaPush",
     "DeltaReply",
     "DeltaRequest",
+    "Departure",
     "EvidenceReport",
     "EvidenceRow",
     "Hello",
@@ -248,11 +249,28 @@
     bucket_digests: tuple[int, ...]
 
 
+class Departure(NamedTuple):
+    """Start of a backend server that leaves; see :mod:`guavagap.departures`.
+
+    Attributes:
+        born_ms: as in :class:`BackendServer`.
+    """
+
+    server_id: str
+    born_ms: int
+
+
 class MembersReply(NamedTuple):
-    """Reply to :class:`MembersRequest`: the rows of buckets that differ."""
+    """Reply to :class:`MembersRequest`: the rows of buckets that differ.
+
+    Attributes:
+        departures: those of backend servers of the requesting node, which an earlier
+            process of it has published.
+    """
 
     call_id: int
     members: tuple[Member, ...]
+    departures: tuple[Departure, ...] = ()
 
 
 class NoticesRequest(NamedTuple):
--- a/guavagap/node.py
+++ b/guavagap/node.py
@@ -4,7 +4,7 @@
 import time
 from collections import Counter
 from contextlib import asynccontextmanager
-from typing import Callable
+from typing import Callable, Iterable
 
 import curio
 
@@ -30,7 +30,9 @@
 from guavagap.members import MemberTable
 from guavagap.membership import Membership
 from guavagap.messages import (
+    BackendServer,
     Datagram,
+    Departure,
     Member,
     MembersRequest,
     MemberState,
@@ -79,6 +81,8 @@
         is_draining: whether the node is shutting down.
         drain_deadline_s: monotonic time at which requests still in flight are aborted.
         is_synchronised: whether the member table has been synchronised with a peer.
+        are_departures_known: whether this process has learned which backend servers an
+            earlier one knew to leave; until then it announces none that is ready.
         backend_proxies: proxies of the local backend servers by server ID.
     """
 
@@ -146,6 +150,7 @@
         self.proxy = Proxy(self)
         self.evaluator = Evaluator(self)
         self.is_synchronised = False
+        self.are_departures_known = not deployment.must_learn_departures
         self._next_sync_s = 0.0
         self._remote_match_at_s = steady_s()
         self._has_left = False
@@ -201,8 +206,12 @@
             return True
         return steady_s() - self._remote_match_at_s > MAX_REMOTE_MISMATCH_S
 
-    async def sync_members(self, node_id: str) -> None:
-        """Fetch the member rows of a peer that differ from the local ones."""
+    async def sync_members(self, node_id: str) -> bool:
+        """Fetch the member rows of a peer that differ from the local ones.
+
+        Returns:
+            Whether the peer has replied. It then has the local row.
+        """
         try:
             link = await self.links.get(node_id)
             digests = tuple(self.table.bucket_digests)
@@ -210,13 +219,15 @@
         except GuavagapError as error:
             log.info("member synchronisation failed", peer=node_id, why=str(error))
             self._next_sync_s = steady_s() + SYNC_RETRY_INTERVAL_S
-            return
+            return False
         known_count = len(self.table)
         for row in reply.members:
             self.membership.merge(row, should_gossip=False)
+        self.adopt_departures(reply.departures)
         if len(self.table) > known_count:
             self._next_sync_s = steady_s() + SYNC_RETRY_INTERVAL_S
         self.is_synchronised = True
+        return True
 
     async def sync_notices(self, node_id: str) -> None:
         """Exchange rollback notices with a peer."""
@@ -291,9 +302,24 @@
         response = await backend_proxy.run(request, downstream, attempt, check_response)
         return response._replace(condition=backend_proxy.condition())
 
-    async def apply_report(self, report: ServerReport) -> None:
+    def adopt_departures(self, departures: Iterable[Departure]) -> None:
+        """Apply departures that an earlier process of this node has acknowledged."""
+        departures = tuple(departures)
+        if self.announcements.adopt_departures(departures):
+            servers = ",".join(departure.server_id for departure in departures)
+            log.info("departures of an earlier process learned", servers=servers)
+
+    async def start_announcing(self) -> None:
+        """Announce ready backend servers from now on."""
+        self.are_departures_known = True
+        await self.apply_announcements()
+
+    async def apply_report(self, report: ServerReport) -> bool:
         """Apply a heartbeat of a local backend server.
 
+        Returns:
+            Whether it may be acknowledged; see :meth:`drain_server`.
+
         Raises:
             GuavagapError: BAD_REQUEST when it names no backend server of this VM.
         """
@@ -305,13 +331,23 @@
             )
         if not self.announcements.report(report, self.settings.report_ttl_s):
             log.info("stale heartbeat ignored", **report._asdict())
-            return
         await self.apply_announcements()
+        return not report.is_draining or await self._confirm_departures()
 
-    async def drain_server(self, server_id: str) -> None:
-        """Drain a local backend server that is shutting down."""
-        if self.announcements.drain(server_id):
-            await self.apply_announcements()
+    async def drain_server(self, server_id: str) -> bool:
+        """Drain a local backend server that is shutting down.
+
+        Returns:
+            Whether this may be acknowledged: whether the next process of this node will
+            know of it as well.
+        """
+        if not self.announcements.drain(server_id):
+            log.info("unknown backend server leaves", server=server_id)
+        await self.apply_announcements()
+        return await self._confirm_departures()
+
+    async def _confirm_departures(self) -> bool:
+        return await self.deployment.confirm_departures(self)
 
     async def apply_announcements(self) -> None:
         """Update backend proxies and the local member row from the announcements."""
@@ -334,11 +370,20 @@
         for server_id in list(self.backend_proxies):
             if server_id not in known:
                 await self.backend_proxies.pop(server_id).connections.close_idle()
-        announced = () if self._has_left else servers
+        announced = tuple(filter(self._is_announced, servers))
         if announced != self.table.local.backend_servers:
             self.table.publish_backend_servers(announced)
             await self.membership.gossip_now(MEMBER_GOSSIP_FAN_OUT)
 
+    def _is_announced(self, server: BackendServer) -> bool:
+        """Return whether other nodes are told of a backend server.
+
+        They are told of departures in any case.
+        """
+        if self.announcements.departed.has_departed(server.server_id, server.born_ms):
+            return True
+        return self.are_departures_known and not self._has_left
+
     def _drain_leaving_servers(self) -> None:
         """Drain the backend servers whose responses say that they leave."""
         for server_id, backend_proxy in self.backend_proxies.items():
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -15,6 +15,7 @@
 from guavagap.clock import steady_s
 from guavagap.declarations import Declaration, RolloutOrder
 from guavagap.declared_configuration import DeclaredConfiguration
+from guavagap.departure_records import DepartureRecords
 from guavagap.deployment import Deployment
 from guavagap.dialect import Dialect
 from guavagap.errors import GuavagapError
@@ -72,6 +73,8 @@
 ENTRY_DELAY_S = 1.0
 INTRODUCE_INTERVAL_S = 0.3
 SYNC_POLL_INTERVAL_S = 0.02
+# Witnesses of departures reply within milliseconds unless they are stopped.
+MAX_LEARN_DELAY_S = 0.4
 # Clients check readiness once a second and detect within two checks that a node is
 # not ready.
 ACCEPT_GRACE_S = 2.4
@@ -114,6 +117,7 @@
     """
 
     is_forwarding_only = True
+    must_learn_departures = True
     is_key_shared = True
     accept_grace_s = ACCEPT_GRACE_S
     leave_grace_s = LEAVE_GRACE_S
@@ -130,6 +134,7 @@
         self._settings = settings
         self._adapter = adapter
         self._store_relay: StoreRelay | None = None
+        self._departure_records: DepartureRecords | None = None
         self._rollout_repository: RecordRolloutRepository | None = None
         self._node = None
         self._entry_key = entry_key(settings.failure_domain, settings.node_id)
@@ -172,6 +177,7 @@
 
     def make_relay(self, node):
         self._node = node
+        self._departure_records = DepartureRecords(node, self._adapter.store)
         self._store_relay = StoreRelay(
             self._adapter.store,
             node.table,
@@ -199,14 +205,36 @@
         While the store is unavailable, a configuration from other nodes suffices.
         Requests that this node accepts need the backend servers of other nodes, so it
         waits for the member table too, but at most ``JOIN_TIMEOUT_S`` because all
-        other nodes may be stopped.
+        other nodes may be stopped. Meanwhile it learns the departures that its earlier
+        processes have acknowledged.
         """
-        while not (self._store_relay.has_listed and self.configuration.is_complete):
+        while not self._store_relay.has_listed:
             if self._is_synchronised_from_peers(node):
                 log.warning("store lost, configuration of other nodes used")
+                await self._learn_departures(node)
                 return
             await curio.sleep(SYNC_POLL_INTERVAL_S)
         await self._introduce()
+        await self._wait_for_members(node)
+        await self._learn_departures(node)
+        while not self.configuration.is_complete:
+            await curio.sleep(SYNC_POLL_INTERVAL_S)
+
+    async def _learn_departures(self, node) -> None:
+        """Learn departures, then announce backend servers.
+
+        A node that finds no other one is ready before that.
+        """
+
+        async def learn() -> None:
+            await run_step(self._departure_records.learn)
+            await node.start_announcing()
+
+        task = await node.scope.spawn(learn)
+        await curio.ignore_after(MAX_LEARN_DELAY_S, task.wait)
+
+    async def _wait_for_members(self, node) -> None:
+        """Wait until the member table is synchronised, or no other node responds."""
         deadline_s = steady_s() + JOIN_TIMEOUT_S
         while self._is_joining(node):
             if steady_s() >= deadline_s:
@@ -233,12 +261,16 @@
         has_peer_configuration = node.is_synchronised and self.configuration.is_complete
         return has_peer_configuration and self._adapter.store.is_unavailable
 
+    async def confirm_departures(self, node) -> bool:
+        return await self._departure_records.confirm()
+
     async def start(self, node):
         """Serve the platform's calls and maintain this node's entry."""
         await node.scope.spawn_supervised(self._adapter.serve, node)
         await node.scope.spawn_supervised(self._maintain_entry)
         await node.scope.spawn_supervised(self._run_introductions)
         await node.scope.spawn_supervised(self._key_sync.run)
+        await node.scope.spawn_supervised(self._departure_records.run)
 
     def _has_alive_peer(self) -> bool:
         return self._node.table.has_alive_peer()
@@ -253,6 +285,8 @@
         """Record the entries of other nodes, and the loss of the local entry."""
         local_key = self._entry_key
         self._key_sync.on_listing(listing)
+        if self._departure_records is not None:
+            self._departure_records.on_listing(listing)
         if self._listed_at_s is None:
             self._listed_at_s = steady_s()
         if listing.is_complete:
--- a/guavagap/platform/decode.py
+++ b/guavagap/platform/decode.py
@@ -81,11 +81,13 @@
 
 
 def _parse_object(body: bytes) -> dict:
-    value = json.loads(body)
+    text = body.decode()
+    value = json.loads(text)
     if not isinstance(value, dict):
         raise ValueError(f"expected an object, got {type(value).__name__}")
-    # JSON can spell text that is not valid Unicode, in any of its values and names.
-    json.dumps(value, ensure_ascii=False).encode()
+    if "\\u" in text:
+        # An escape can spell text that is not valid Unicode, in values and in names.
+        json.dumps(value, ensure_ascii=False).encode()
     return value
 
 
--- a/guavagap/platform/node_api.py
+++ b/guavagap/platform/node_api.py
@@ -58,13 +58,13 @@
 
 async def _apply_heartbeat(node, server_id: str, body: bytes) -> HttpResponse:
     try:
-        await node.apply_report(decode_report(server_id, body))
+        is_recorded = await node.apply_report(decode_report(server_id, body))
     except GuavagapError as error:
         if error.kind is not ErrorKind.BAD_REQUEST:
             raise
         log.warning("heartbeat rejected", server=server_id[:80], why=error.detail)
         return _json_response(400, {"error": error.detail})
-    return _json_response(200, {})
+    return _acknowledge(server_id, is_recorded)
 
 
 async def _drain_server(node, server_id: str) -> HttpResponse:
@@ -73,8 +73,18 @@
     except GuavagapError as error:
         log.warning("leaving rejected", server=server_id[:80], why=error.detail)
         return _json_response(400, {"error": error.detail})
-    await node.drain_server(server_id)
-    return _json_response(200, {})
+    return _acknowledge(server_id, await node.drain_server(server_id))
+
+
+def _acknowledge(server_id: str, is_recorded: bool) -> HttpResponse:
+    """Acknowledge what the next process of this node will know too.
+
+    A backend server that gets no acknowledgement reports again.
+    """
+    if is_recorded:
+        return _json_response(200, {})
+    log.warning("leaving not acknowledged", server=server_id, why="not recorded")
+    return _json_response(503, {"error": "not recorded outside of this node"})
 
 
 def _json_response(status: int, value: dict) -> HttpResponse:
--- a/guavagap/schemas/mesh.capnp
+++ b/guavagap/schemas/mesh.capnp
@@ -103,7 +103,8 @@
 struct DeltaPush { compressed @0 :Data; rawBytes @1 :UInt32; rootId @2 :Text; baseEpoch @3 :UInt64; epoch @4 :UInt64; }
 
 struct MembersRequest { callId @0 :UInt64; own @1 :Member; bucketDigests @2 :List(UInt64); }
-struct MembersReply { callId @0 :UInt64; members @1 :List(Member); }
+struct Departure { serverId @0 :Text; bornMs @1 :UInt64; }
+struct MembersReply { callId @0 :UInt64; members @1 :List(Member); departures @2 :List(Departure); }
 
 struct NoticesRequest { callId @0 :UInt64; notices @1 :List(Notice); }
 struct NoticesReply { callId @0 :UInt64; notices @1 :List(Notice); }
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -169,6 +169,7 @@
             "callers": dict(self.callers),
             "peak_running": self.peak_running,
             "cancelled": self.cancelled,
+            "born_ms": self.born_ms,
         }
 
     def next_heartbeat(self) -> bytes:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -41,11 +41,13 @@
             relay=SimpleNamespace(release=_ignore),
             settings=SimpleNamespace(permit_ttl_s=1.0),
             table=table,
+            are_departures_known=True,
             _has_left=False,
             _revoke_permits=_ignore,
         )
         node.apply_announcements = partial(Node.apply_announcements, node)
         node._drain_leaving_servers = partial(Node._drain_leaving_servers, node)
+        node._is_announced = partial(Node._is_announced, node)
 
         async def case():
             report = ServerReport("i1", "shop", "v1", ADDRESS, 4, False, 0.0, 5, 1)
