Ask each witness once, and wait for a first one only where the store lists none

A starting node asked its witnesses again until all had replied, for up to two seconds. A witness that had just been lost would have delayed the announcement of the node's server for that time, though a plain restart must be as fast as before. Each is asked once now, and again only while none has replied and the store lists no other node.

--- a/guavagap/departure_records.py
+++ b/guavagap/departure_records.py
@@ -36,10 +36,7 @@
 RECORD_TTL_S = 600.0
 MIN_REMAINING_TTL_S = 300.0
 RETRY_INTERVAL_S = 1.0
-# Entries of nodes that lapsed during an outage of the store are back within two seconds
-# of its return.
-LEARN_TIMEOUT_S = 2.0
-LEARN_INTERVAL_S = 0.02
+LEARN_INTERVAL_S = 0.05
 MAX_CONFLICTS = 3
 
 
@@ -221,20 +218,27 @@
         if replied_ids:
             self._witnessed |= departures
 
-    async def learn(self) -> None:
+    async def learn(self, patience_s: float) -> None:
         """Ask the witnesses for the departures of earlier processes of this node.
 
-        A starting node learns of other nodes one after the other, so it asks again
-        until all that are its witnesses then have replied. It gives up after
-        ``LEARN_TIMEOUT_S``, since it may be alone.
+        A starting node learns of other nodes one after the other. Each that is then one
+        of its witnesses is asked once, and again while none has replied.
+
+        Args:
+            patience_s: how long to wait for a first reply.
         """
+        asked_ids: set[str] = set()
         replied_ids: set[str] = set()
-        asked_until_s = steady_s() + LEARN_TIMEOUT_S
-        while steady_s() < asked_until_s:
-            missing_ids = self._witness_ids() - replied_ids
-            if replied_ids and not missing_ids:
+        give_up_at_s = steady_s() + patience_s
+        while True:
+            new_ids = self._witness_ids() - asked_ids
+            if new_ids:
+                asked_ids |= new_ids
+                replied_ids |= await self._call(new_ids)
+                continue
+            if replied_ids or steady_s() >= give_up_at_s:
                 break
-            replied_ids |= await self._call(missing_ids)
+            asked_ids.clear()
             await curio.sleep(LEARN_INTERVAL_S)
         log.info(
             "witnesses asked for departures", replied=",".join(sorted(replied_ids))
--- a/guavagap/operator_deployment.py
+++ b/guavagap/operator_deployment.py
@@ -73,6 +73,8 @@
 ENTRY_DELAY_S = 1.0
 INTRODUCE_INTERVAL_S = 0.3
 SYNC_POLL_INTERVAL_S = 0.02
+# Entries that lapsed during an outage of the store are back within this time.
+LAPSED_ENTRY_TIMEOUT_S = 2.0
 # Witnesses of departures reply within milliseconds unless they are stopped.
 MAX_LEARN_DELAY_S = 0.4
 # Clients check readiness once a second and detect within two checks that a node is
@@ -223,11 +225,13 @@
     async def _learn_departures(self, node) -> None:
         """Learn departures, then announce backend servers.
 
-        A node that finds no other one is ready before that.
+        A node that finds no other one is ready before that. If the store lists other
+        nodes, those that run have responded by now.
         """
+        patience_s = 0.0 if self._entries else LAPSED_ENTRY_TIMEOUT_S
 
         async def learn() -> None:
-            await run_step(self._departure_records.learn)
+            await run_step(self._departure_records.learn, patience_s)
             await node.start_announcing()
 
         task = await node.scope.spawn(learn)
