--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -442,7 +442,7 @@
                 what="the other backend servers are known",
             )
         for node_id in self.layout:
-            for number in range(20):
+            for number in range(60):
                 fleet.request(node_id, "/shop/x", f"late-{node_id}-{number}")
         runs = fleet.ledger("i-a1")["runs"]
         self.assertEqual([], [name for name in runs if name.startswith("late-")])
--- a/tests/test_stray_heartbeats.py
+++ b/tests/test_stray_heartbeats.py
@@ -106,6 +106,22 @@
             for server_id in ("i-1", "i-2"):
                 self.assert_refused(server_id, body)
 
+    def test_report_that_messages_cannot_hold_is_refused(self):
+        """Whatever the codec of a platform lets pass."""
+        report = decode_report("i-2", encode_report())
+        for change in (
+            {"service": "\ud83d"},
+            {"version": "\ud83d"},
+            {"born_ms": -1},
+            {"born_ms": 2**64},
+            {"slots": 2**16},
+        ):
+            error = self.assertRaises(
+                GuavagapError, self.registry.report, report._replace(**change), TTL_S
+            )
+            self.assertEqual(ErrorKind.BAD_REQUEST, error.kind)
+        self.assertEqual(self.known, self.registry.servers())
+
     def test_no_strange_identifier_is_taken(self):
         for server_id in STRANGE_IDS:
             self.assert_refused(server_id, encode_report())
