--- a/guavagap/link.py
+++ b/guavagap/link.py
@@ -7,8 +7,8 @@
 headers to a few bytes. Request and response bodies are not compressed. The dialing
 node opens streams and makes calls; the accepting node replies.
 
-Streams carry the requests of callers, so a control message that cannot be sent, decoded
-or handled does not end the link. A link whose peer does not reply is retired: its
+Streams carry the requests of callers, so a control message that cannot be sent or
+handled does not end the link. A link whose peer does not reply is retired: its
 streams go on, and new ones use another link.
 """
 
