--- a/review/mesh_2.py
+++ b/review/mesh_2.py
@@ -9,6 +9,7 @@
 import contextlib
 import itertools
 import json
+import logging
 import os
 import pathlib
 import random
@@ -599,6 +600,8 @@
     for _ in range(random.SystemRandom().randrange(12_000)):
         next(_ports)
     random.seed(int(os.environ.get("SEED", "1")))
+    # Connections that the other end has closed are noted in the record.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     record = Record(folder)
     mesh = Mesh(record, zones, **settings)
     # Whoever ends the script early ends what it has started as well.
