Acknowledge a departure only once the store keeps it

Cause: while the store was down, the reply of a witness counted as a record of the departure. Witnesses are processes; all were killed before the store was back.

Evidence: the log of the owner has "departures not recorded", "departures sent to witnesses" and no "departures recorded" before the 200; its next process asks new processes, which know nothing.

Why it works: nothing but the store outlives all processes, and the answer is 503 until it has the record. The server is drained at once as before, and the witnesses are told, so that a node which restarts alone in the outage does not use it.

Two tests expected the acknowledgement that was the fault: "witnesses keep it" and "departure during an outage is kept". They demand 503 during the outage now, the record and the acknowledgement after it, and as before that the server is not used.

--- a/guavagap/departure_records.py
+++ b/guavagap/departure_records.py
@@ -1,9 +1,10 @@
 """Records of a node's departures outside of its process.
 
-A departure may be acknowledged once the next process of the node will learn of it. The
-store outlives all processes, so it is asked first. While it cannot be written, the
-witnesses of the node keep the departure, which are other nodes that each process of it
-chooses alike, and the record is written when the store is back.
+A departure is acknowledged once the store keeps it, since all processes of the mesh may
+end at the same time and nothing else outlives them. While the store cannot be written,
+the witnesses of the node are told, which are other nodes that each process of it
+chooses alike: a node that restarts alone meanwhile learns the departure from them. It
+is acknowledged when the record is written after the outage.
 """
 
 import curio
@@ -29,7 +30,7 @@
 
 DEPARTURES_PREFIX = "mesh/departed/"
 # A heartbeat is acknowledged within a second, or sent again.
-STORE_TIMEOUT_S = 0.3
+STORE_TIMEOUT_S = 0.5
 WITNESS_TIMEOUT_S = 0.3
 WITNESSES = 2
 # Longer than a report of a backend server that has left may be late.
@@ -55,7 +56,7 @@
 
 
 class DepartureRecords:
-    """Keeps the departures of one node in the store and at its witnesses.
+    """Keeps the departures of one node in the store, and at its witnesses meanwhile.
 
     Args:
         node: the node.
@@ -74,7 +75,6 @@
         self._position: StorePosition | None = None
         self._written_at_s = float("-inf")
         self._stored: frozenset[Departure] = frozenset()
-        self._witnessed: frozenset[Departure] = frozenset()
 
     def _departures(self) -> tuple[Departure, ...]:
         departed = self._node.announcements.departed
@@ -106,20 +106,17 @@
         self._node.adopt_departures(departures)
 
     async def confirm(self) -> bool:
-        """Return whether all departures are kept outside of this process.
+        """Return whether the store keeps all departures.
 
         Takes at most ``STORE_TIMEOUT_S`` and ``WITNESS_TIMEOUT_S``.
         """
-        if self._is_confirmed():
+        if self._is_stored():
             return True
         if not self._store.is_unavailable:
             await curio.ignore_after(STORE_TIMEOUT_S, run_step, self._write)
-        if not self._is_confirmed():
+        if not self._is_stored():
             await self._tell_witnesses()
-        return self._is_confirmed()
-
-    def _is_confirmed(self) -> bool:
-        return self._stored | self._witnessed >= set(self._departures())
+        return self._is_stored()
 
     async def run(self) -> None:
         """Write what the store lacks, until cancelled."""
@@ -216,11 +213,11 @@
 
     async def _tell_witnesses(self) -> None:
         """Send the local row, which has the departures of known starts."""
-        departures = frozenset(
+        departures = [
             departure
             for departure in self._departures()
             if departure.born_ms != ANY_START
-        )
+        ]
         witness_ids = self._witness_ids()
         replied_ids = await self._call(witness_ids)
         log.info(
@@ -229,8 +226,6 @@
             asked=",".join(sorted(witness_ids)),
             replied=",".join(sorted(replied_ids)),
         )
-        if replied_ids:
-            self._witnessed |= departures
 
     async def learn(self, patience_s: float) -> None:
         """Ask the witnesses for the departures of earlier processes of this node.
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -1,12 +1,15 @@
 """Tests of departures: what a node has acknowledged binds its next process."""
 
-import json
 from types import SimpleNamespace
 
 import curio
 import testtools
 
-from guavagap.announcements import AnnouncementRegistry, ServerReport
+from guavagap.announcements import (
+    DRAINED_RETENTION_S,
+    AnnouncementRegistry,
+    ServerReport,
+)
 from guavagap.clock import steady_s
 from guavagap.departure_records import DepartureRecords, choose_witnesses
 from guavagap.departures import (
@@ -23,7 +26,7 @@
 from guavagap.metadata_store import Lease, Listing, StoreItem, TransactionOutcome
 from guavagap.store_positions import StorePosition
 from standins.fleet import wait_until
-from tests.operator_cases import OperatorTestCase
+from tests.departure_cases import DepartureTestCase
 from tests.virtual_time import run_in_virtual_time
 
 BORN_MS = 1_700_000_000_000
@@ -149,6 +152,28 @@
         self.assertEqual([], self.ready_ids())
         self.assertEqual(0, len(self.registry.servers()))
 
+    def test_departure_after_its_reports_lapsed_holds_late_ones_back(self):
+        for is_restarted in (False, True):
+            self.registry = self.make_registry()
+            self.report(5)
+            self.now_s += TTL_S + 1.0
+            self.assertEqual([], self.ready_ids())
+            self.registry.drain("i-1")
+            if is_restarted:
+                self.restart()
+            for sequence in (3, 4):
+                self.now_s += HEARTBEAT_S
+                self.assertFalse(self.report(sequence))
+                self.assertEqual([], self.ready_ids())
+
+    def test_late_report_after_a_drained_server_was_removed_is_not_used(self):
+        self.report(5)
+        self.registry.drain("i-1")
+        self.now_s += DRAINED_RETENTION_S + 1.0
+        self.assertEqual((), self.registry.servers())
+        self.report(4)
+        self.assertEqual([], self.ready_ids())
+
     def test_departure_of_an_unknown_server_is_known_after_a_restart(self):
         self.registry.drain("i-1")
         self.restart()
@@ -319,16 +344,18 @@
         registry.report(make_report(4), TTL_S)
         self.assertEqual([True], [s.is_draining for s in registry.servers()])
 
-    def test_witnesses_keep_it_while_the_store_is_down(self):
+    def test_witnesses_are_told_while_the_store_is_down(self):
+        """review/8: their replies were taken for a record that outlives processes."""
         for is_unavailable in (False, True):
             store = _Store()
             store.is_down, store.is_unavailable = True, is_unavailable
             records = self.make(store, ["n2", "n3", "n4"])
-            self.assertTrue(self.leave(records))
+            self.assertFalse(self.leave(records))
             self.assertEqual(2, len(set(self.told)))
             store.is_down = store.is_unavailable = False
             curio.run(curio.ignore_after, 1.5, records.run)
             self.assertEqual((Departure("i-1", BORN_MS),), store.stored())
+            self.assertTrue(curio.run(records.confirm))
 
     def test_witness_that_is_found_late_is_asked_too(self):
         """A starting node knows nobody at first, or only a node that is no witness."""
@@ -413,70 +440,9 @@
         self.assertEqual((Departure("i-1", BORN_MS),), store.stored())
 
 
-class ProcessTests(OperatorTestCase):
+class ProcessTests(DepartureTestCase):
     """Real daemons, killed right after they have acknowledged a departure."""
 
-    layout = {"a1": "za", "a2": "za", "b1": "zb"}
-
-    def start_and_leave(self, how: str, with_born=True, **platform):
-        """Start a mesh; let the backend server of a1 leave and be silent."""
-        fleet = self.start(self.layout)
-        fleet.configure_upstream("i-a1", is_silent=True)
-        server = fleet.servers["i-a1"]
-        born_ms = fleet.ledger("i-a1")["born_ms"]
-        self.report = {
-            "service": "shop",
-            "address": f"127.0.0.1:{server.port}",
-            "zone": "-",
-            "version": "v1",
-            "slots": 6,
-            "state": "ready",
-            "coldRemainingS": 0,
-            "seq": 90,
-            "born": born_ms,
-        }
-        if not with_born:
-            del self.report["born"]
-            self.send(fleet, seq=91)
-        if platform:
-            fleet.configure_platform(**platform)
-        if how == "delete":
-            status = fleet.report("a1", "i-a1", "DELETE").status
-        else:
-            status = self.send(fleet, seq=100, state="draining")
-        self.assertEqual(200, status)
-        return fleet
-
-    def send(self, fleet, **changes) -> int:
-        body = json.dumps(self.report | changes).encode()
-        return fleet.report("a1", "i-a1", "PUT", body).status
-
-    def restart(self, fleet, *node_ids: str) -> None:
-        for node_id in node_ids:
-            fleet.kill(fleet.nodes[node_id].process)
-        for node_id in node_ids:
-            fleet.start_operator_node(node_id, self.layout[node_id], "shop")
-        fleet.wait_ready(*node_ids)
-
-    def assert_not_used(self, fleet) -> None:
-        """Send a late report, then requests at every node."""
-        self.assertEqual(200, self.send(fleet))
-        others = [node_id for node_id in self.layout if node_id != "a1"]
-        for node_id in self.layout:
-            wait_until(
-                lambda: self.known(fleet, node_id) >= {f"i-{n}" for n in others},
-                what="the other backend servers are known",
-            )
-        for node_id in self.layout:
-            for number in range(60):
-                fleet.request(node_id, "/shop/x", f"late-{node_id}-{number}")
-        runs = fleet.ledger("i-a1")["runs"]
-        self.assertEqual([], [name for name in runs if name.startswith("late-")])
-
-    def known(self, fleet, node_id: str) -> set[str]:
-        pools = (fleet.status(node_id) or {}).get("pools", {})
-        return {row["server_id"] for row in pools.get("shop/main", [])}
-
     def test_killed_owner_does_not_use_a_server_that_has_left(self):
         """review/2: it took the server back by a late report."""
         for how in ("delete", "draining"):
@@ -496,7 +462,10 @@
         self.assert_not_used(fleet)
 
     def test_departure_during_an_outage_of_the_store_is_kept(self):
-        fleet = self.start_and_leave("delete", is_down=True)
+        """Another node keeps it, which is not enough for an acknowledgement."""
+        fleet = self.start_with_silent_server()
+        fleet.configure_platform(is_down=True)
+        self.assertEqual(503, self.leave(fleet, "delete"))
         fleet.kill(fleet.nodes["a1"].process)
         fleet.configure_platform(is_down=False)
         self.restart(fleet, "a1")
