Write a learned departure again after a restore of the store

Seen in no case: after a restore that lost it, the record of a departure that an earlier process of the node had written was not written again, so a loss of all processes would have forgotten an acknowledged leaving.

Cause: whether the record was lost with a restore was told by the era of the lease alone, and a process that has only read the record holds no lease.

Evidence: RecordTests.test_learned_record_is_written_again_after_a_restore_of_the_store failed before ((Departure(...),) != ()) and passes now.

Why it works: the era of the position at which the record was read is compared as well.

--- a/guavagap/departure_records.py
+++ b/guavagap/departure_records.py
@@ -130,8 +130,15 @@
         departures = set(self._departures())
         if not departures:
             return True
-        is_lost = self._lease is not None and self._lease.era < self._store.era
-        return self._stored >= departures and not is_lost
+        return self._stored >= departures and not self._is_restored_since()
+
+    def _is_restored_since(self) -> bool:
+        """Return whether the store was restored since the record was written or read.
+
+        A process that has only read the record of an earlier one has no lease.
+        """
+        known = (self._lease, self._position)
+        return any(item is not None and item.era < self._store.era for item in known)
 
     async def _write(self) -> None:
         """Write all departures unless the store has them."""
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -439,6 +439,19 @@
         curio.run(curio.ignore_after, 1.5, records.run)
         self.assertEqual((Departure("i-1", BORN_MS),), store.stored())
 
+    def test_learned_record_is_written_again_after_a_restore_of_the_store(self):
+        """A process wrote nothing again that an earlier process had recorded."""
+        store = _Store()
+        self.leave(self.make(store))
+        records = self.make(store)
+        item = SimpleNamespace(
+            key=records._key, position=store.position, body=store.item.value
+        )
+        records.on_listing(Listing([item], store.position, True))
+        store.restore()
+        curio.run(curio.ignore_after, 1.5, records.run)
+        self.assertEqual((Departure("i-1", BORN_MS),), store.stored())
+
 
 class ProcessTests(DepartureTestCase):
     """Real daemons, killed right after they have acknowledged a departure."""
