Log whether the body of a failed attempt can be sent again

A placement that an owner node refuses is repeated without a line in the log, so nothing told whether a part of the body had been read before the next one. Such placements are logged now, and each failed attempt says whether its body is kept.

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -365,6 +365,8 @@
         if error.kind is ErrorKind.SLOTS_TAKEN:
             history.busy_ids.add(server_id)
             if history.placements < MAX_PLACEMENTS:
+                if exchange.downstream.is_body_consumed:
+                    self._log_failed_attempt(exchange, history, target, error, True)
                 return exchange
         may_have_arrived = may_have_reached_server(error.kind)
         history.attempts += may_have_arrived
@@ -424,6 +426,7 @@
             run_time_factor=round(health.run_time_factor(now_s), 2),
             attempts=history.attempts,
             placements=history.placements,
+            is_body_kept=not exchange.downstream.is_body_consumed,
             elapsed_ms=_to_ms(now_s - exchange.started_s),
             left_ms=_to_ms(exchange.request.deadline_s - now_s),
             outcome="tried again" if is_allowed else "given up",
