Repeat a refused placement only while the whole body is kept

Cause: AttemptRunner._after_failure repeated a placement refused with SLOTS_TAKEN before it asked may_retry, which checks that the body can be sent again. The first placement had read parts beyond the read-ahead and sent them to the node that refused.

Why it works: no attempt follows once a part of the body has been read from the caller that is not kept. The mark is set at the first read, so that a refusal before it still leads to another placement.

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -364,9 +364,8 @@
         history.placements += 1
         if error.kind is ErrorKind.SLOTS_TAKEN:
             history.busy_ids.add(server_id)
-            if history.placements < MAX_PLACEMENTS:
-                if exchange.downstream.is_body_consumed:
-                    self._log_failed_attempt(exchange, history, target, error, True)
+            is_body_kept = not exchange.downstream.is_body_consumed
+            if is_body_kept and history.placements < MAX_PLACEMENTS:
                 return exchange
         may_have_arrived = may_have_reached_server(error.kind)
         history.attempts += may_have_arrived
--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -270,8 +270,8 @@
     await upstream.send_request(request, downstream.chunks, is_complete)
     if is_complete:
         return True
-    downstream.is_body_consumed = True
     while downstream.is_body_ended or not upstream.has_early_response():
+        downstream.is_body_consumed = True
         chunk = await downstream.read_body()
         try:
             await upstream.send_body(chunk)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -9,7 +9,13 @@
 from guavagap.declarations import Customer
 from guavagap.directory import ServerHealth, Target
 from guavagap.errors import ErrorKind, GuavagapError, error_spec
-from guavagap.exchange import ForwardedRequest
+from guavagap.exchange import (
+    Downstream,
+    ForwardedRequest,
+    ResponseHead,
+    Upstream,
+    relay_exchange,
+)
 from guavagap.messages import BackendServer
 from guavagap.platform.headers import PLATFORM_DIALECT
 from guavagap.poison import QUARANTINE_TERMS_S, PoisonGuard, fingerprint_of
@@ -72,13 +78,18 @@
     ) -> None:
         """Make the attempts of a request at a node with the given parts."""
         snapshot = SimpleNamespace(customers=customers)
+
+        async def gossip_now(count):
+            pass
+
         node = SimpleNamespace(
             configuration=SimpleNamespace(snapshot=snapshot),
+            membership=SimpleNamespace(gossip_now=gossip_now),
             router=router,
             run_local=run_local,
             settings=SimpleNamespace(node_id="n0", failure_domain="za"),
             directory=SimpleNamespace(all_targets=lambda: router.targets),
-            poison=None,
+            poison=PoisonGuard(steady_s),
             evidence=SimpleNamespace(record=lambda *_: None),
             is_forwarding_only=True,
             backend_proxies={},
@@ -160,6 +171,121 @@
         self.assertEqual(ErrorKind.NO_BACKEND_SERVER, error.kind)
 
 
+class _Upload(Downstream):
+    """A body of several parts, of which the first is kept for further attempts."""
+
+    def __init__(self, parts: list[bytes]):
+        self.chunks = parts[:1]
+        self.is_body_complete = False
+        self._unread = parts[1:]
+        self.statuses: list[int] = []
+
+    async def read_body(self):
+        if self._unread:
+            return self._unread.pop(0)
+        self.is_body_ended = True
+        return None
+
+    async def send_response(self, response):
+        self.is_response_started = True
+        self.statuses.append(response.status)
+
+    async def send_chunks(self, chunks, is_complete):
+        pass
+
+
+class _Receiver(Upstream):
+    """Records the body that it receives; fails before or after its end.
+
+    Args:
+        error: raised in place of a response; None for a response.
+        parts_read: parts of the body that are received before the error.
+    """
+
+    def __init__(self, error: GuavagapError | None, parts_read: int = 0):
+        self._error = error
+        self._parts_left = parts_read
+        self.body = b""
+        self.is_ended = False
+
+    async def send_request(self, request, chunks, is_complete):
+        self.is_written = True
+        self.body += b"".join(chunks)
+
+    async def send_body(self, chunk):
+        self._parts_left -= 1
+        self.body += chunk or b""
+        self.is_ended = chunk is None
+
+    def has_early_response(self):
+        return self._error is not None and self._parts_left <= 0
+
+    async def read_response(self):
+        if self._error is not None:
+            raise self._error
+        return ResponseHead(200, [], [], True)
+
+    async def read_chunks(self):
+        return [], True
+
+    async def finish(self):
+        pass
+
+    async def abort(self):
+        pass
+
+
+class UploadTests(AttemptsTestCase):
+    """A body of which a part was read from the caller cannot be sent again."""
+
+    PARTS = [b"a" * 10, b"b" * 10, b"c" * 10]
+
+    def upload(self, error: GuavagapError, is_idempotent: bool, parts_read: int):
+        """Upload to a server that fails, then to one that responds.
+
+        Returns:
+            What the second one received, None if it was not tried; and the error that
+            the caller gets, None if it gets a response.
+        """
+        first, second = _Receiver(error, parts_read), _Receiver(None)
+        receivers = [first, second]
+        exchange = make_exchange()
+        downstream = _Upload(self.PARTS)
+        request = exchange.request._replace(has_body=True, is_idempotent=is_idempotent)
+        exchange = exchange._replace(request=request, downstream=downstream)
+
+        async def run_local(server_id, request, downstream, attempt, check_response):
+            attempt.upstream = receivers.pop(0)
+            return await relay_exchange(
+                request, downstream, attempt.upstream, check_response
+            )
+
+        targets = [make_target(f"i{n}", "za") for n in range(2)]
+        failure = None
+        try:
+            self.run_attempts(_Router(targets), run_local, exchange)
+        except GuavagapError as raised:
+            failure = raised
+        return (None if receivers else second.body), failure
+
+    def test_no_kind_of_failure_is_followed_by_a_part_of_the_body(self):
+        """review/6: after a refusal for a slot, the rest of a body ran as the whole."""
+        for kind in ErrorKind:
+            for is_idempotent in (False, True):
+                for parts_read in (1, 2, 3):
+                    error = GuavagapError(kind, "failed")
+                    body, failure = self.upload(error, is_idempotent, parts_read)
+                    self.assertIs(None, body, (kind, parts_read))
+                    self.assertEqual(kind, failure.kind)
+
+    def test_refusal_before_any_further_part_was_read_is_placed_again(self):
+        """It was refused although its whole body could be sent to another server."""
+        error = GuavagapError(ErrorKind.SLOTS_TAKEN, "taken")
+        body, failure = self.upload(error, False, 0)
+        self.assertIs(None, failure)
+        self.assertEqual(b"".join(self.PARTS), body)
+
+
 class QuarantineTests(AsyncTestCase):
     def setUp(self):
         super().setUp()
