Report a body of another length than declared as an error of the node

Callers saw: 400 ("Too little data for declared Content-Length") for a sound upload of which the node had lost a part, and were not to send it again.

Cause: BackendUpstream took each refusal by h11 for a bad request. The caller's own connection has checked the body against its length before, so a mismatch on the way to the backend server is a fault of the node; and parts of the request have been sent.

Evidence: LengthTests failed before (bad_request in place of internal) and passes now. No such mismatch is known since a refused placement is repeated only with the whole body.

Why it works: only a head that cannot be sent is still a bad request.

--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -176,10 +176,7 @@
         await self._send([event])
 
     async def _send(self, events) -> None:
-        try:
-            data = b"".join([self._connection.h11.send(event) for event in events])
-        except h11.LocalProtocolError as error:
-            raise GuavagapError(ErrorKind.BAD_REQUEST, str(error)) from None
+        data = b"".join([self._encode(event) for event in events])
         self.is_written = True
         self._sent_at_s = steady_s()
         try:
@@ -189,6 +186,15 @@
                 ErrorKind.BACKEND_SERVER_LOST, f"sending failed: {error!r}"
             ) from None
 
+    def _encode(self, event) -> bytes:
+        try:
+            return self._connection.h11.send(event)
+        except h11.LocalProtocolError as error:
+            # The caller's own connection has checked its body against its length.
+            is_head = type(event) is h11.Request
+            kind = ErrorKind.BAD_REQUEST if is_head else ErrorKind.INTERNAL
+            raise GuavagapError(kind, str(error)) from None
+
     def has_early_response(self):
         return not self._connection.is_silent()
 
