Send a long body to an owner node only once its request has a slot

Cause: to a node of the same failure domain, the body was sent along with the head. A refusal for a slot then came after parts had been read that are not kept.

Change: a body that is not read completely waits for the credit that the owner node grants with a slot, as bodies to other failure domains do.

--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -68,7 +68,8 @@
         server_id: the backend server to run the request on.
         health: updated with the condition that the owner node reports.
         is_cross_domain: whether the owner node is in another failure domain; traffic
-            there is costly, so a body is sent only after the request has a slot.
+            there is costly, so a body is sent only after the request has a slot, as
+            one is that has not been read completely.
     """
 
     def __init__(
@@ -86,7 +87,10 @@
     async def send_request(self, request: ForwardedRequest, chunks, is_complete):
         timeout_ms = max(0, int((request.deadline_s - steady_s()) * 1000))
         body = b"".join(chunks)
-        is_body_held = self._is_cross_domain and len(body) > MAX_EAGER_BODY_BYTES
+        # What is not read yet cannot be sent again after a refusal.
+        is_body_held = not is_complete or (
+            self._is_cross_domain and len(body) > MAX_EAGER_BODY_BYTES
+        )
         first_chunk = b"" if is_body_held else body[:MAX_CHUNK_BYTES]
         is_whole = is_complete and len(first_chunk) == len(body)
         length = request.content_length_bytes
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,11 +5,12 @@
 from guavagap.clock import steady_s
 from guavagap.directory import ServerHealth
 from guavagap.errors import ErrorKind
-from guavagap.exchange import ForwardedRequest
+from guavagap.exchange import Downstream, ForwardedRequest, relay_exchange
 from guavagap.forwarding import MAX_EAGER_BODY_BYTES, StreamUpstream
 from guavagap.link import Link
 from guavagap.stream_messages import (
     OpenStream,
+    StreamAnswer,
     StreamCredit,
     StreamData,
     StreamReset,
@@ -17,6 +18,8 @@
 from tests.cases import AsyncTestCase
 
 BODY = bytes(MAX_EAGER_BODY_BYTES + 1)
+# The first stream of a link.
+STREAM_ID = 1
 
 
 class _Channel:
@@ -29,6 +32,27 @@
         self.sent.append(message)
 
 
+class _Upload(Downstream):
+    """A body in parts, of which the first has been read ahead."""
+
+    def __init__(self, parts: list[bytes]):
+        self.chunks = parts[:1]
+        self.is_body_complete = False
+        self._unread = parts[1:]
+
+    async def read_body(self):
+        if self._unread:
+            return self._unread.pop(0)
+        self.is_body_ended = True
+        return None
+
+    async def send_response(self, response):
+        self.is_response_started = True
+
+    async def send_chunks(self, chunks, is_complete):
+        pass
+
+
 def make_request() -> ForwardedRequest:
     deadline_s = steady_s() + 2.0
     return ForwardedRequest(b"POST", b"/x", [], len(BODY), True, False, deadline_s)
@@ -94,6 +118,54 @@
         self.run_async(case)
 
 
+class LongBodyTests(AsyncTestCase):
+    """A body that is not read completely, to a node of the same failure domain."""
+
+    async def relay(self, *messages):
+        """Relay an upload whose owner node sends messages; return what it was sent.
+
+        Raises:
+            GuavagapError: the error that the messages cause.
+        """
+        channel = _Channel()
+        stream = Link(channel, "peer").open_stream()
+        upstream = StreamUpstream(
+            stream, "s1", ServerHealth(0.0, True), is_cross_domain=False
+        )
+        self.downstream = _Upload([BODY, BODY])
+        task = await curio.spawn(
+            relay_exchange, make_request(), self.downstream, upstream
+        )
+        for message in messages:
+            await curio.sleep(0.01)
+            await stream.deliver(message)
+        await join_and_raise(task)
+        return [item for item in channel.sent if isinstance(item, StreamData)]
+
+    def test_refusal_for_a_slot_comes_before_the_rest_is_read(self):
+        """The upload was refused, since a part of it was gone with the refusal."""
+
+        async def case():
+            await self.assert_error_kind(
+                ErrorKind.SLOTS_TAKEN,
+                self.relay(
+                    StreamReset(STREAM_ID, ErrorKind.SLOTS_TAKEN.value, "", True)
+                ),
+            )
+            self.assertFalse(self.downstream.is_body_consumed)
+
+        self.run_async(case)
+
+    def test_whole_body_is_sent_once_there_is_a_slot(self):
+        async def case():
+            credit = StreamCredit(STREAM_ID, 10 * len(BODY))
+            answer = StreamAnswer(STREAM_ID, 200, (), b"", True)
+            sent = await self.relay(credit, answer)
+            self.assertEqual(2 * len(BODY), sum(len(item.body) for item in sent))
+
+        self.run_async(case)
+
+
 async def join_and_raise(task):
     """Join a task; return its result or raise its error."""
     try:
