Keep the kind of a refusal that comes while the body is sent

Callers saw: 502 in place of 503, or of another placement, for a request that an owner node had refused while the first part of its body was on its way.

Cause: a stream that was reset ends the sending with LINK_LOST, and relay_exchange read the reset itself only if it had come during a later part of the body.

Evidence: test_refusal_while_the_body_is_sent_keeps_its_kind failed before (link_lost in place of connect_failed). No case showed it; the window is short.

--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -8,7 +8,7 @@
 
 from abc import ABC, abstractmethod
 from contextlib import asynccontextmanager
-from typing import Callable, NamedTuple
+from typing import Awaitable, Callable, NamedTuple
 
 import curio
 
@@ -267,23 +267,33 @@
 ) -> bool:
     """Send head and body; return False when a response arrived before the end."""
     is_complete = downstream.is_body_complete
-    await upstream.send_request(request, downstream.chunks, is_complete)
+    if not await _try_send(
+        upstream, upstream.send_request(request, downstream.chunks, is_complete)
+    ):
+        return False
     if is_complete:
         return True
     while downstream.is_body_ended or not upstream.has_early_response():
         downstream.is_body_consumed = True
         chunk = await downstream.read_body()
-        try:
-            await upstream.send_body(chunk)
-        except GuavagapError:
-            if upstream.has_early_response():
-                return False
-            raise
+        if not await _try_send(upstream, upstream.send_body(chunk)):
+            return False
         if chunk is None:
             return True
     return False
 
 
+async def _try_send(upstream: Upstream, sending: Awaitable[None]) -> bool:
+    """Await a part being sent; return False if that failed beside a response."""
+    try:
+        await sending
+    except GuavagapError:
+        if upstream.is_written and upstream.has_early_response():
+            return False
+        raise
+    return True
+
+
 async def _buffer_small_response(
     response: ResponseHead, upstream: Upstream
 ) -> ResponseHead:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -156,6 +156,17 @@
 
         self.run_async(case)
 
+    def test_refusal_while_the_body_is_sent_keeps_its_kind(self):
+        """It was reported as a lost link: 502 for what had not run."""
+
+        async def case():
+            kind = ErrorKind.CONNECT_FAILED
+            credit = StreamCredit(STREAM_ID, len(BODY) - 1)
+            refusal = StreamReset(STREAM_ID, kind.value, "", True)
+            await self.assert_error_kind(kind, self.relay(credit, refusal))
+
+        self.run_async(case)
+
     def test_whole_body_is_sent_once_there_is_a_slot(self):
         async def case():
             credit = StreamCredit(STREAM_ID, 10 * len(BODY))
