Log a request that a backend server does not take to its end

Where sending fails, the response that has come before is read and passed on, and nothing told that the connection had broken off meanwhile. The line names the error and whether there is a response.

--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -19,10 +19,13 @@
     read_response_head,
     validated_headers,
 )
+from guavagap.logs import get_logger
 from guavagap.server_statements import ServerStatement
 
 __all__ = ["BackendConnectionPool", "BackendUpstream", "CONNECT_TIMEOUT_S"]
 
+log = get_logger()
+
 CONNECT_TIMEOUT_S = 1.0
 # A backend server that closes a connection so soon after a response has most likely
 # ended; idle connections are usually kept for longer.
@@ -182,6 +185,14 @@
         try:
             await self._connection.sock.sendall(data)
         except OSError as error:
+            log.info(
+                "request not sent completely",
+                request=(self._sent_id or b"").decode("latin-1"),
+                server=self._server_id,
+                why=repr(error),
+                elapsed_ms=int((steady_s() - self._sent_at_s) * 1000),
+                has_early_response=self.has_early_response(),
+            )
             raise GuavagapError(
                 ErrorKind.BACKEND_SERVER_LOST, f"sending failed: {error!r}"
             ) from None
