Take the end of a connection for a reset once an error was met on it

Cause: the kernel reports a reset once. Sending the next part of the request was told of it, and the reader of the response then saw the stream end, which ends a response without a length.

Evidence: "request not sent completely" with ConnectionResetError stands before each wrong 200 of a run; where the reader met the reset, the caller got 502.

Why it works: the connection remembers the error for its reader. No part is sent any more once a response has come, so sound responses rarely meet such an error.

--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -183,7 +183,7 @@
         self.is_written = True
         self._sent_at_s = steady_s()
         try:
-            await self._connection.sock.sendall(data)
+            await self._connection.send_bytes(data)
         except OSError as error:
             log.info(
                 "request not sent completely",
--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -276,6 +276,9 @@
     while downstream.is_body_ended or not upstream.has_early_response():
         downstream.is_body_consumed = True
         chunk = await downstream.read_body()
+        # Sending to a connection that has been reset would hide that from the reader.
+        if not downstream.is_body_ended and upstream.has_early_response():
+            return False
         if not await _try_send(upstream, upstream.send_body(chunk)):
             return False
         if chunk is None:
--- a/guavagap/http1.py
+++ b/guavagap/http1.py
@@ -90,6 +90,8 @@
         h11: the protocol state machine of this end.
         is_head_folded: whether the latest request head used obsolete line folding.
         account: what the connection holds, if its client is not trusted.
+        is_broken: whether sending or a check has met an error of the connection. It is
+            told only once, so that the reader would take what follows for a proper end.
     """
 
     __slots__ = (
@@ -97,6 +99,7 @@
         "h11",
         "is_head_folded",
         "account",
+        "is_broken",
         "_is_server",
         "_unyielded_bytes",
     )
@@ -106,6 +109,7 @@
         self.h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
         self.is_head_folded = False
         self.account: ClientAccount | None = None
+        self.is_broken = False
         self._is_server = role is h11.SERVER
         self._unyielded_bytes = 0
 
@@ -136,7 +140,11 @@
                 self._detect_line_folding()
 
     async def _receive(self) -> bytes:
-        """Receive bytes, giving way to other tasks after ``YIELD_AFTER_BYTES``."""
+        """Receive bytes, giving way to other tasks after ``YIELD_AFTER_BYTES``.
+
+        Raises:
+            ConnectionResetError: the connection has ended after an error.
+        """
         if self._unyielded_bytes >= YIELD_AFTER_BYTES:
             self._unyielded_bytes = 0
             await curio.sleep(0)
@@ -148,6 +156,8 @@
             data = await self.account.receive(
                 self.sock, size_bytes, self._buffered_bytes
             )
+        if not data and self.is_broken:
+            raise ConnectionResetError("the connection ended after an error")
         self._unyielded_bytes += len(data)
         return data
 
@@ -204,10 +214,18 @@
         if not data:
             return
         if self.account is None:
-            await self.sock.sendall(data)
+            await self.send_bytes(data)
         else:
             await self.account.send(self.sock, data)
 
+    async def send_bytes(self, data: bytes) -> None:
+        """Send encoded bytes."""
+        try:
+            await self.sock.sendall(data)
+        except OSError:
+            self.is_broken = True
+            raise
+
     def start_next_cycle(self) -> bool:
         """Prepare for another request; return False when that is not possible."""
         protocol = self.h11
@@ -243,6 +261,7 @@
         except (BlockingIOError, InterruptedError):
             return False
         except OSError:
+            self.is_broken = True
             return True
 
     def is_silent(self) -> bool:
@@ -253,6 +272,7 @@
         except (BlockingIOError, InterruptedError):
             return True
         except OSError:
+            self.is_broken = True
             return False
         return False
 
--- a/standins/raw_server.py
+++ b/standins/raw_server.py
@@ -2,6 +2,7 @@
 
 import itertools
 import socket
+import struct
 import threading
 from contextlib import contextmanager
 from typing import NamedTuple
@@ -10,6 +11,8 @@
 
 HEAD_END = b"\r\n\r\n"
 ACCEPT_TIMEOUT_S = 0.2
+# Closing a socket with this option resets its connection.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class RawResponse(NamedTuple):
@@ -18,11 +21,16 @@
     Attributes:
         is_repeated: whether they are sent again and again until the peer closes.
         is_closing: whether the connection is closed afterwards.
+        is_resetting: whether the connection is reset afterwards.
+        is_half_closing: whether the sending side is closed afterwards; what the peer
+            still sends is read.
     """
 
     data: bytes
     is_repeated: bool = False
     is_closing: bool = False
+    is_resetting: bool = False
+    is_half_closing: bool = False
 
 
 class RawServer:
@@ -33,6 +41,7 @@
         request_count: number of requests received.
         latest: identifier of the connection of the latest request.
         open_connections: identifiers of the connections that are open at both ends.
+        ended: identifiers of the connections that the server has ended itself.
     """
 
     def __init__(self, response: RawResponse):
@@ -40,6 +49,7 @@
         self.request_count = 0
         self.latest = 0
         self.open_connections: set[int] = set()
+        self.ended: set[int] = set()
         self._numbers = itertools.count(1)
         self._listener = socket.create_server(("127.0.0.1", 0))
         self._listener.settimeout(ACCEPT_TIMEOUT_S)
@@ -91,7 +101,17 @@
             sock.sendall(response.data)
             while response.is_repeated:
                 sock.sendall(response.data)
-            if response.is_closing:
+            if response.is_half_closing:
+                sock.shutdown(socket.SHUT_WR)
+                self.ended.add(number)
+                while sock.recv(65_536):
+                    pass
+                return
+            if response.is_resetting:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+            if response.is_closing or response.is_resetting:
+                sock.close()
+                self.ended.add(number)
                 return
 
 
--- a/tests/test_response_statuses.py
+++ b/tests/test_response_statuses.py
@@ -5,10 +5,6 @@
 may have run, and the connection to the backend server is closed.
 """
 
-import json
-import threading
-import time
-
 from guavagap.addresses import Address
 from guavagap.backend_proxy import BackendProxy
 from guavagap.clock import steady_s
@@ -21,16 +17,12 @@
 from guavagap.platform.store import StoreClient
 from guavagap.stream_messages import UNKNOWN_CONDITION, StreamAnswer
 from guavagap.streams import Stream
-from standins.fleet import http_call, wait_until
-from standins.operator_fleet import RouteSpec
+from standins.fleet import wait_until
 from standins.raw_server import RawResponse, open_raw_server
-from tests.calls_cases import TWO_DOMAINS, CallsTestCase
 from tests.cases import AsyncTestCase
-from tests.operator_cases import OperatorTestCase
+from tests.raw_server_cases import DirectRawServerTestCase, RawServerTestCase
 
 BODY = b"content-length: 2\r\n\r\nok"
-RAW_ROUTE = RouteSpec("/pay/", {"shop": 1}, False, timeout_s=3.0)
-HEARTBEAT_INTERVAL_S = 0.3
 
 
 class EmptyDownstream(Downstream):
@@ -129,54 +121,9 @@
     return wrong
 
 
-class OperatorPathTests(OperatorTestCase):
+class OperatorPathTests(RawServerTestCase):
     """The paths of an operator's deployment: local and over a link."""
 
-    def start_with_raw_server(self, server):
-        fleet = self.start(
-            {"a1": "za", "b1": "zb"},
-            {"a1": "cart", "b1": "cart"},
-            [RAW_ROUTE, RouteSpec("/cart/", {"cart": 1})],
-        )
-        fleet.kill(fleet.servers.pop("i-b1").process)
-        # The service of a node is that of its backend server.
-        fleet.stop(fleet.nodes["b1"].process)
-        fleet.start_operator_node("b1", "zb", "shop")
-        self.start_heartbeats(fleet, server.port)
-        fleet.wait_ready()
-        fleet.wait_backend_servers("shop", 1)
-        return fleet
-
-    def start_heartbeats(self, fleet, port: int) -> None:
-        is_ending = threading.Event()
-
-        def run() -> None:
-            sequence = 0
-            while not is_ending.is_set():
-                sequence += 1
-                body = {
-                    "service": "shop",
-                    "address": f"127.0.0.1:{port}",
-                    "zone": "-",
-                    "version": "v1",
-                    "slots": 6,
-                    "state": "ready",
-                    "coldRemainingS": 0,
-                    "seq": sequence,
-                    "born": 1,
-                }
-                try:
-                    fleet.report("b1", "i-raw", "PUT", json.dumps(body).encode())
-                except OSError:
-                    # The node is starting.
-                    pass
-                time.sleep(HEARTBEAT_INTERVAL_S)
-
-        thread = threading.Thread(target=run)
-        thread.start()
-        self.addCleanup(thread.join)
-        self.addCleanup(is_ending.set)
-
     def assert_statuses(self, node_id: str) -> None:
         with open_raw_server(PASSED["200"][0]) as server:
             fleet = self.start_with_raw_server(server)
@@ -196,25 +143,12 @@
         self.assert_statuses("a1")
 
 
-class DirectPathTests(CallsTestCase):
+class DirectPathTests(DirectRawServerTestCase):
     """Direct connections to a backend server on another VM."""
 
     def test_direct(self):
         with open_raw_server(PASSED["200"][0]) as server:
-            fleet = self.open_fleet()
-            self.start_mesh(fleet, TWO_DOMAINS)
-            announcement = {
-                "service": "checkout",
-                "version": "v1",
-                "address": f"127.0.0.1:{server.port}",
-                "slots": 6,
-                "connections": 30,
-                "ttl_s": 600,
-            }
-            port = fleet.nodes["b1"].admin_port
-            body = json.dumps(announcement).encode()
-            http_call(port, "PUT", "/backend-servers/raw", body)
-            fleet.wait_backend_servers("checkout", 1)
+            fleet = self.start_with_raw_server(server)
 
             def call(name: str):
                 return fleet.call("a1", "/checkout/pay", "POST", b"1")
