Reset the connection of an HTTP/1.0 caller whose response breaks off

Callers saw: a response without a length that had broken off midway ended like a complete one, where the caller speaks HTTP/1.0 and so gets no chunks.

Cause: the connection was closed in the same way after complete and after cut responses.

Evidence: OldCallerTests failed before, at the server's node (the test stops at the first) and passes now, there and over a link.

Why it works: while such a response is incomplete, closing its socket resets it, also when the process is killed.

--- a/guavagap/caller_connections.py
+++ b/guavagap/caller_connections.py
@@ -239,6 +239,7 @@
         events = [h11.Response(status_code=response.status, headers=headers)]
         events += self._body_events(response.chunks, response.is_complete)
         self.is_response_started = True
+        self._set_reset_on_close(not response.is_complete)
         if self.is_recording:
             self.recorded = response._replace(chunks=[], is_complete=False)
             self._record(response.chunks, response.is_complete)
@@ -259,6 +260,20 @@
         if self.is_recording:
             self._record(chunks, is_complete)
         await self._send(self._body_events(chunks, is_complete))
+        if is_complete:
+            self._set_reset_on_close(False)
+
+    def _set_reset_on_close(self, is_enabled: bool) -> None:
+        """Let a response that breaks off not look complete to a caller of HTTP/1.0.
+
+        Other callers get it in chunks, which have an end of their own.
+        """
+        if self._connection.h11.their_http_version != b"1.0":
+            return
+        try:
+            self._connection.set_reset_on_close(is_enabled)
+        except OSError as error:
+            raise GuavagapError(ErrorKind.CALLER_GONE, repr(error)) from None
 
     def _body_events(self, chunks: list[bytes], is_complete: bool) -> list:
         events: list = [h11.Data(data=chunk) for chunk in chunks]
--- a/guavagap/http1.py
+++ b/guavagap/http1.py
@@ -2,6 +2,7 @@
 
 import re
 import socket as stdlib_socket
+import struct
 from typing import NamedTuple
 
 import curio
@@ -276,6 +277,13 @@
             return False
         return False
 
+    def set_reset_on_close(self, is_enabled: bool) -> None:
+        """Choose whether closing, or the end of the process, resets the connection."""
+        option = struct.pack("ii", int(is_enabled), 0)
+        self.sock._socket.setsockopt(
+            stdlib_socket.SOL_SOCKET, stdlib_socket.SO_LINGER, option
+        )
+
     async def close(self) -> None:
         """Close the socket and ignore errors."""
         try:
--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -177,3 +177,40 @@
             fleet = self.start_with_raw_server(server)
             port = fleet.nodes["a1"].caller_port
             self.assertEqual({}, find_wrong_responses(server, port, "/checkout/pay"))
+
+
+class OldCallerTests(RawServerTestCase):
+    """A caller of HTTP/1.0 gets a response without a length by its connection's end."""
+
+    def receive(self, port: int, request_id: str) -> tuple[bytes, bool]:
+        """Return all bytes received, and whether the connection was reset."""
+        request = (
+            f"GET /pay/x HTTP/1.0\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n\r\n"
+        )
+        received = b""
+        with socket.create_connection(("127.0.0.1", port), CALL_TIMEOUT_S) as sock:
+            sock.sendall(request.encode())
+            try:
+                while data := sock.recv(65_536):
+                    received += data
+            except ConnectionResetError:
+                return received, True
+        return received, False
+
+    def test_response_that_breaks_off_does_not_end_as_a_complete_one(self):
+        """Its connection was closed as after a complete response."""
+        long = _NO_LENGTH + LONG_PART
+        with open_raw_server(RawResponse(long, is_resetting=True)) as server:
+            fleet = self.start_with_raw_server(server)
+            for node_id in ("b1", "a1"):
+                port = fleet.nodes[node_id].caller_port
+                server.response = RawResponse(long, is_half_closing=True)
+                received, is_reset = self.receive(port, f"whole-{node_id}")
+                self.assertEqual((True, False), (LONG_PART in received, is_reset))
+                server.response = RawResponse(
+                    _CHUNKED + b"%x\r\n" % (2 * len(LONG_PART)) + LONG_PART,
+                    is_half_closing=True,
+                )
+                received, is_reset = self.receive(port, f"cut-{node_id}")
+                self.assertTrue(received.startswith(b"HTTP/1.1 200"), received[:80])
+                self.assertTrue(is_reset)
