--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -210,19 +210,8 @@
         return not self._connection.is_silent()
 
     async def read_response(self):
-        event = await self._read_response()
+        event = await self._read_own_response()
         headers = header_list(event)
-        for _ in range(MAX_STALE_RESPONSES):
-            if self._is_for_sent_request(headers):
-                break
-            await self._skip_stale_response()
-            event = await self._read_response()
-            headers = header_list(event)
-        if not self._is_for_sent_request(headers):
-            raise GuavagapError(
-                ErrorKind.BACKEND_SERVER_PROTOCOL,
-                "received responses to other requests",
-            )
         if self._on_statement is not None:
             self._on_statement(self._dialect.read_statement(event.status_code, headers))
         if self._dialect.is_refusal(event.status_code, headers):
@@ -241,6 +230,21 @@
             run_s=steady_s() - self._sent_at_s,
         )
 
+    async def _read_own_response(self) -> h11.Response:
+        """Return the head of the response to the request that was sent."""
+        for _ in range(MAX_STALE_RESPONSES):
+            event = await self._read_response()
+            if self._is_for_sent_request(header_list(event)):
+                return event
+            await self._skip_stale_response()
+        event = await self._read_response()
+        if not self._is_for_sent_request(header_list(event)):
+            raise GuavagapError(
+                ErrorKind.BACKEND_SERVER_PROTOCOL,
+                "received responses to other requests",
+            )
+        return event
+
     async def _read_response(self) -> h11.Response:
         """Return the head of a final response."""
         event = await self._receive(read_response_head, self._connection)
@@ -253,7 +257,17 @@
         if self._sent_id is None:
             return True
         echoed = header_value(headers, self._dialect.request_id)
-        return echoed is None or echoed == self._sent_id
+        is_for_sent = echoed is None or echoed == self._sent_id
+        if echoed != self._sent_id:
+            log.info(
+                "response names another request, or none",
+                request=self._sent_id.decode("latin-1"),
+                named=None if echoed is None else echoed.decode("latin-1"),
+                server=self._server_id,
+                sent_age_ms=int((steady_s() - self._sent_at_s) * 1000),
+                outcome="taken" if is_for_sent else "dropped",
+            )
+        return is_for_sent
 
     async def _skip_stale_response(self) -> None:
         """Read and drop a late response to an earlier request."""
