Fail an upload at once that a late response has interrupted

Callers saw: 504 at the deadline, in place of 502 at once, where a late response to another request came during an upload. The node had stopped sending the body, so the backend server waited for the rest of it and no response could follow.

Evidence: test_late_response_within_an_upload_fails_it_at_once failed before; there the connection ends, so it was reported as lost. By the code, one that stays open lasts until the deadline.

--- a/guavagap/backend_connections.py
+++ b/guavagap/backend_connections.py
@@ -279,6 +279,11 @@
 
     async def _skip_stale_response(self) -> None:
         """Read and drop a late response to an earlier request."""
+        if self._connection.h11.our_state is h11.SEND_BODY:
+            raise GuavagapError(
+                ErrorKind.BACKEND_SERVER_PROTOCOL,
+                "a response to another request has interrupted the sending of the body",
+            )
         event, size_bytes = await self._next_event(), 0
         while type(event) is h11.Data:
             size_bytes += len(event.data)
--- a/tests/test_backend_connections.py
+++ b/tests/test_backend_connections.py
@@ -105,6 +105,18 @@
             ):
                 self.assertEqual((200, b"own"), self.read(*received), line)
 
+    def test_late_response_within_an_upload_fails_it_at_once(self):
+        """The backend server waited for the rest of the body, and the caller for it."""
+
+        async def case():
+            late = b"HTTP/1.1 200 OK\r\n" + self.LATE
+            upstream = open_upstream(_Socket(late))
+            await upstream.send_request(make_upload(), [b"x"], False)
+            kind = ErrorKind.BACKEND_SERVER_PROTOCOL
+            await self.assert_error_kind(kind, upstream.read_response())
+
+        self.run_async(case)
+
     def test_refusal_may_name_no_request(self):
         """A full or another backend server answers so; waiting for more is in vain."""
         for line in (b"503 Full\r\nx-not-run: 1", b"421 Misdirected"):
