Send errors to HEAD requests without a body

Cause: send_error adds a body, which h11 refuses for HEAD before a byte is written.

Why it works: the connection knows that its latest request was one of HEAD, whatever the error is.

--- a/guavagap/caller_errors.py
+++ b/guavagap/caller_errors.py
@@ -50,7 +50,8 @@
     if is_closing:
         headers.append((b"connection", b"close"))
     response = h11.Response(status_code=dialect.status_of(error.kind), headers=headers)
-    await connection.send(response, h11.Data(data=body), h11.EndOfMessage())
+    events = [] if connection.is_body_barred else [h11.Data(data=body)]
+    await connection.send(response, *events, h11.EndOfMessage())
 
 
 async def lingering_close(connection: Http1Connection) -> None:
