Free failed requests without the garbage collector

Cause: the error of a failed request refers to its traceback, that to the frames, and these to the error: _raise_reset held the error that it raised, AttemptRunner one that it was given, and the history of the attempts. Each cycle held a request with its buffers until the collector ran, which is tuned to run rarely.

Why it works: whoever decides on an error releases its frames.

--- a/guavagap/attempts.py
+++ b/guavagap/attempts.py
@@ -45,6 +45,7 @@
     expected_wait_s,
 )
 from guavagap.scheduling.waits import WaitState, max_wait_s
+from guavagap.tasks import forget_frames
 
 __all__ = ["AttemptRunner"]
 
@@ -213,6 +214,7 @@
                             why="the customer has no token for another run",
                         )
                         raise history.unknown_outcome or error
+                    forget_frames(error)
             except GuavagapError as error:
                 is_refused = error_spec(error.kind).is_not_run
                 if is_refused and history.excess_wait_s is not None:
@@ -223,6 +225,7 @@
                 is_caller_gone = error.kind is ErrorKind.CALLER_GONE
                 if history.withheld_response is None or is_started or is_caller_gone:
                     raise
+                forget_frames(error)
                 # The response of a backend server says more than an error of this node.
                 await exchange.downstream.send_response(history.withheld_response)
                 return
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -36,7 +36,8 @@
     return max(1, int(duration_s * 1000)) if duration_s > 0 else 0
 
 
-def _raise_reset(reset: StreamReset) -> None:
+def _reset_error(reset: StreamReset) -> GuavagapError:
+    """Return the error that a reset reports."""
     try:
         kind = ErrorKind(reset.kind)
     except ValueError:
@@ -45,7 +46,7 @@
         kind = ErrorKind.LINK_UNREACHABLE
     error = GuavagapError(kind, reset.detail)
     error.born_ms = reset.born_ms
-    raise error
+    return error
 
 
 def _check_peer_status(status: int) -> None:
@@ -154,7 +155,7 @@
         message = await self._stream.receive()
         if isinstance(message, StreamReset):
             self._health.update_condition(message.condition, steady_s())
-            _raise_reset(message)
+            raise _reset_error(message)
         if not isinstance(message, StreamAnswer):
             raise GuavagapError(
                 ErrorKind.FRAME_INVALID, "received body bytes before the response head"
--- a/guavagap/handlers.py
+++ b/guavagap/handlers.py
@@ -36,6 +36,7 @@
     StreamReset,
 )
 from guavagap.streams import Stream
+from guavagap.tasks import forget_frames
 
 __all__ = ["handle_message"]
 
@@ -100,6 +101,7 @@
         async with enforce_deadline(request.deadline_s, attempt):
             await node.run_local(opening.server_id, request, downstream, attempt)
     except GuavagapError as error:
+        forget_frames(error)
         is_not_run = not attempt.is_written or error_spec(error.kind).is_not_run
         if not link.is_closed:
             await stream.send_reset(
--- a/guavagap/proxy.py
+++ b/guavagap/proxy.py
@@ -38,6 +38,7 @@
 from guavagap.requests import Exchange
 from guavagap.snapshot import CompiledRoute, find_route
 from guavagap.store_positions import describe_epoch
+from guavagap.tasks import forget_frames
 
 __all__ = ["Proxy", "request_timeout_s"]
 
@@ -163,6 +164,7 @@
             outcome = "answered"
         except GuavagapError as error:
             outcome = error.kind.value
+            forget_frames(error)
             return await self._handle_error(connection, error, request_id)
         except OSError:
             return False
