--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -500,7 +500,7 @@
         "errors to HEAD requests have no body",
         "test_caller_errors.py::ErrorResponseTests::test_head_request_gets",
         "caller_errors.py",
-        "[] if connection.is_body_barred else",
+        "[] if connection.is_head_request else",
         "[] if False else",
     ),
     _mechanism(
--- a/guavagap/caller_errors.py
+++ b/guavagap/caller_errors.py
@@ -50,7 +50,7 @@
     if is_closing:
         headers.append((b"connection", b"close"))
     response = h11.Response(status_code=dialect.status_of(error.kind), headers=headers)
-    events = [] if connection.is_body_barred else [h11.Data(data=body)]
+    events = [] if connection.is_head_request else [h11.Data(data=body)]
     await connection.send(response, *events, h11.EndOfMessage())
 
 
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -88,7 +88,7 @@
     async def send_request(self, request: ForwardedRequest, chunks, is_complete):
         timeout_ms = max(0, int((request.deadline_s - steady_s()) * 1000))
         body = b"".join(chunks)
-        # What is not read yet cannot be sent again after a refusal.
+        # Parts that are read while they are sent cannot be sent again after a refusal.
         is_body_held = not is_complete or (
             self._is_cross_domain and len(body) > MAX_EAGER_BODY_BYTES
         )
--- a/guavagap/http1.py
+++ b/guavagap/http1.py
@@ -90,8 +90,8 @@
         sock: the ``curio`` socket.
         h11: the protocol state machine of this end.
         is_head_folded: whether the latest request head used obsolete line folding.
-        is_body_barred: whether the latest request is one of HEAD, to which no response
-            has a body.
+        is_head_request: whether the method of the latest request is HEAD, to which no
+            response has a body.
         account: what the connection holds, if its client is not trusted.
         is_broken: whether sending or a check has met an error of the connection. It is
             told only once, so that the reader would take what follows for a proper end.
@@ -101,7 +101,7 @@
         "sock",
         "h11",
         "is_head_folded",
-        "is_body_barred",
+        "is_head_request",
         "account",
         "is_broken",
         "_is_server",
@@ -112,7 +112,7 @@
         self.sock = sock
         self.h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
         self.is_head_folded = False
-        self.is_body_barred = False
+        self.is_head_request = False
         self.account: ClientAccount | None = None
         self.is_broken = False
         self._is_server = role is h11.SERVER
@@ -134,7 +134,7 @@
                 event = protocol.next_event()
             if event is not h11.NEED_DATA:
                 if type(event) is h11.Request:
-                    self.is_body_barred = event.method == b"HEAD"
+                    self.is_head_request = event.method == b"HEAD"
                     if account is not None:
                         await account.start_request(event, self._buffered_bytes)
                 return event
@@ -239,7 +239,7 @@
         if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
             return False
         protocol.start_next_cycle()
-        self.is_body_barred = False
+        self.is_head_request = False
         if self._is_server:
             self._detect_line_folding()
         return True
