--- a/tests/cases.py
+++ b/tests/cases.py
@@ -9,9 +9,16 @@
 from testtools.content import text_content
 
 from guavagap.errors import GuavagapError
+from guavagap.http_messages import HttpRequest
 from standins.fleet import open_fleet
 
-__all__ = ["AsyncTestCase", "FleetTestCase", "attach_logs_on_failure", "send_raw"]
+__all__ = [
+    "AsyncTestCase",
+    "FleetTestCase",
+    "attach_logs_on_failure",
+    "echoed_id",
+    "send_raw",
+]
 
 ASYNC_TIMEOUT_S = 60.0
 # The end of a process's log that is added to the report of a failed test.
@@ -51,6 +58,11 @@
     case.addOnException(attach)
 
 
+def echoed_id(request: HttpRequest) -> list[tuple[bytes, bytes]]:
+    """Return the header by which a backend server names the request it responds to."""
+    return [item for item in request.headers if item[0] == b"x-request-id"]
+
+
 def send_raw(port: int, request: bytes) -> bytes:
     """Send bytes to a port and return all bytes received until its end."""
     with socket.create_connection(("127.0.0.1", port), 15) as sock:
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -20,7 +20,7 @@
 from guavagap.scheduling.cold_starts import ColdEvent
 from guavagap.server_guards import LocalServerGuard, ServerGuard
 from guavagap.tasks import open_task_scope
-from tests.cases import AsyncTestCase
+from tests.cases import AsyncTestCase, echoed_id
 from tests.virtual_time import run_in_virtual_time
 
 LIMIT = ColdLimit(3.0, 2.0, "/health")
@@ -81,7 +81,7 @@
 
     async def respond(self, request) -> HttpResponse:
         self.paths[request.target] += 1
-        headers = [(b"x-instance-id", self.instance_id)]
+        headers = [*echoed_id(request), (b"x-instance-id", self.instance_id)]
         if self.cold_ms is not None:
             headers.append((b"x-cold-ms", self.cold_ms))
         return HttpResponse(200, headers)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -15,7 +15,7 @@
 from guavagap.messages import BackendServer
 from guavagap.platform.headers import PLATFORM_DIALECT
 from guavagap.tasks import open_task_scope
-from tests.cases import AsyncTestCase
+from tests.cases import AsyncTestCase, echoed_id
 from tests.virtual_time import run_in_virtual_time
 
 # The platform allows this much in any window, from STABLE_WINDOW_S after a backend
@@ -89,7 +89,9 @@
                 arrivals_s.append(clock() - started_s)
                 await curio.sleep(RUN_S)
                 limit = b"%.1f" % load.limit_per_s
-                return HttpResponse(200, [(b"server-limit", limit)])
+                return HttpResponse(
+                    200, [*echoed_id(request), (b"server-limit", limit)]
+                )
 
             async with self.open_proxy(run) as proxy:
                 async with curio.TaskGroup() as callers:
--- a/tests/test_server_pace.py
+++ b/tests/test_server_pace.py
@@ -27,7 +27,7 @@
 from guavagap.server_guards import LocalServerGuard
 from guavagap.server_pace import ServerPace
 from guavagap.tasks import open_task_scope
-from tests.cases import AsyncTestCase
+from tests.cases import AsyncTestCase, echoed_id
 from tests.test_cold_servers import _Downstream, open_listener
 from tests.test_node import make_node
 from tests.virtual_time import run_in_virtual_time
@@ -80,7 +80,7 @@
         self.peak = max(self.peak, self.running)
         await curio.sleep(self.run_s)
         self.running -= 1
-        return HttpResponse(self.status, [])
+        return HttpResponse(self.status, echoed_id(request))
 
     async def report(self) -> None:
         """Send a heartbeat that says that it is warm."""
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -20,7 +20,7 @@
 from guavagap.outcomes import OutcomeRecorder
 from guavagap.platform.headers import PLATFORM_DIALECT
 from guavagap.tasks import open_task_scope
-from tests.cases import AsyncTestCase
+from tests.cases import AsyncTestCase, echoed_id
 from tests.virtual_time import run_in_virtual_time
 
 READ_TIMEOUT_S = 30.0
@@ -56,7 +56,7 @@
         """
 
         async def respond(request) -> HttpResponse:
-            return HttpResponse(200, [], b"ok")
+            return HttpResponse(200, echoed_id(request), b"ok")
 
         async def run(clock):
             async with open_pair() as (server_sock, client_sock, budget):
@@ -119,7 +119,7 @@
 
         async def respond(request) -> HttpResponse:
             turns_at_request.append(turns)
-            return HttpResponse(200, [])
+            return HttpResponse(200, echoed_id(request))
 
         async def run():
             async with open_pair() as (server_sock, client_sock, budget):
