--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,7 +10,6 @@
 from guavagap.directory import ServerHealth, Target
 from guavagap.errors import ErrorKind, GuavagapError, error_spec
 from guavagap.exchange import (
-    Downstream,
     ForwardedRequest,
     ResponseHead,
     Upstream,
@@ -22,11 +21,12 @@
 from guavagap.requests import Exchange
 from guavagap.retries import MAX_PLACEMENTS, SuccessRetryBudget
 from tests.cases import AsyncTestCase
+from tests.exchange_cases import Upload
 
 EVACUATED_SERVERS = 2 * MAX_PLACEMENTS
 
 
-class _Router:
+class FirstTargetRouter:
     """Selects the first target that is left."""
 
     def __init__(self, targets: list[Target]):
@@ -70,7 +70,7 @@
 class AttemptsTestCase(AsyncTestCase):
     def run_attempts(
         self,
-        router: _Router,
+        router: FirstTargetRouter,
         run_local,
         exchange: Exchange | None = None,
         customers: CustomerDirectory = NO_CUSTOMERS,
@@ -125,7 +125,7 @@
         error = self.assertRaises(
             CredentialsError,
             self.run_attempts,
-            _Router(targets),
+            FirstTargetRouter(targets),
             run_local,
             keyed,
             directory,
@@ -135,7 +135,7 @@
         self.assertEqual(([], ["unverified"]), (tried, reasons))
         # Without a key, and without customers, it is run.
         for request, customers in ((exchange, directory), (keyed, NO_CUSTOMERS)):
-            arguments = (_Router(targets), run_local, request, customers)
+            arguments = (FirstTargetRouter(targets), run_local, request, customers)
             self.assertRaises(GuavagapError, self.run_attempts, *arguments)
         self.assertEqual(["i0", "i0"], tried)
 
@@ -155,12 +155,12 @@
                 status=200, condition=None, headers=[], is_complete=False, run_s=0.0
             )
 
-        self.run_attempts(_Router(targets), run_local)
+        self.run_attempts(FirstTargetRouter(targets), run_local)
         self.assertEqual(["i0", "last"], tried)
 
     def test_request_without_a_domain_left_is_refused_with_a_time_to_return(self):
         """Its caller would return within tenths of a second, again and again."""
-        router = _Router([])
+        router = FirstTargetRouter([])
         router.is_all_evacuated = True
         error = self.assertRaises(GuavagapError, self.run_attempts, router, None)
         self.assertEqual(ErrorKind.EVACUATED, error.kind)
@@ -171,29 +171,6 @@
         self.assertEqual(ErrorKind.NO_BACKEND_SERVER, error.kind)
 
 
-class _Upload(Downstream):
-    """A body of several parts, of which the first is kept for further attempts."""
-
-    def __init__(self, parts: list[bytes]):
-        self.chunks = parts[:1]
-        self.is_body_complete = False
-        self._unread = parts[1:]
-        self.statuses: list[int] = []
-
-    async def read_body(self):
-        if self._unread:
-            return self._unread.pop(0)
-        self.is_body_ended = True
-        return None
-
-    async def send_response(self, response):
-        self.is_response_started = True
-        self.statuses.append(response.status)
-
-    async def send_chunks(self, chunks, is_complete):
-        pass
-
-
 class _Receiver(Upstream):
     """Records the body that it receives; fails before or after its end.
 
@@ -250,7 +227,7 @@
         first, second = _Receiver(error, parts_read), _Receiver(None)
         receivers = [first, second]
         exchange = make_exchange()
-        downstream = _Upload(self.PARTS)
+        downstream = Upload(self.PARTS)
         request = exchange.request._replace(has_body=True, is_idempotent=is_idempotent)
         exchange = exchange._replace(request=request, downstream=downstream)
 
@@ -263,7 +240,7 @@
         targets = [make_target(f"i{n}", "za") for n in range(2)]
         failure = None
         try:
-            self.run_attempts(_Router(targets), run_local, exchange)
+            self.run_attempts(FirstTargetRouter(targets), run_local, exchange)
         except GuavagapError as raised:
             failure = raised
         return (None if receivers else second.body), failure
@@ -301,7 +278,7 @@
             respond: returns the status of the response, or raises.
         """
         targets = [make_target(f"i{n}", "za") for n in range(2)]
-        router = _Router(targets)
+        router = FirstTargetRouter(targets)
 
         async def run_local(server_id, *_):
             self.tried.append(server_id)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,7 +5,7 @@
 from guavagap.clock import steady_s
 from guavagap.directory import ServerHealth
 from guavagap.errors import ErrorKind
-from guavagap.exchange import Downstream, ForwardedRequest, relay_exchange
+from guavagap.exchange import ForwardedRequest, relay_exchange
 from guavagap.forwarding import MAX_EAGER_BODY_BYTES, StreamUpstream
 from guavagap.link import Link
 from guavagap.stream_messages import (
@@ -16,6 +16,7 @@
     StreamReset,
 )
 from tests.cases import AsyncTestCase
+from tests.exchange_cases import Upload
 
 BODY = bytes(MAX_EAGER_BODY_BYTES + 1)
 # The first stream of a link.
@@ -32,27 +33,6 @@
         self.sent.append(message)
 
 
-class _Upload(Downstream):
-    """A body in parts, of which the first has been read ahead."""
-
-    def __init__(self, parts: list[bytes]):
-        self.chunks = parts[:1]
-        self.is_body_complete = False
-        self._unread = parts[1:]
-
-    async def read_body(self):
-        if self._unread:
-            return self._unread.pop(0)
-        self.is_body_ended = True
-        return None
-
-    async def send_response(self, response):
-        self.is_response_started = True
-
-    async def send_chunks(self, chunks, is_complete):
-        pass
-
-
 def make_request() -> ForwardedRequest:
     deadline_s = steady_s() + 2.0
     return ForwardedRequest(b"POST", b"/x", [], len(BODY), True, False, deadline_s)
@@ -132,7 +112,7 @@
         upstream = StreamUpstream(
             stream, "s1", ServerHealth(0.0, True), is_cross_domain=False
         )
-        self.downstream = _Upload([BODY, BODY])
+        self.downstream = Upload([BODY, BODY])
         task = await curio.spawn(
             relay_exchange, make_request(), self.downstream, upstream
         )
--- a/tests/test_reference_cycles.py
+++ b/tests/test_reference_cycles.py
@@ -26,7 +26,12 @@
 from guavagap.stream_messages import UNKNOWN_CONDITION, OpenStream, StreamReset
 from guavagap.tasks import open_task_scope
 from tests.cases import AsyncTestCase
-from tests.test_attempts import AttemptsTestCase, _Router, make_exchange, make_target
+from tests.test_attempts import (
+    AttemptsTestCase,
+    FirstTargetRouter,
+    make_exchange,
+    make_target,
+)
 
 
 class Held:
@@ -70,7 +75,7 @@
                 status=200, condition=None, headers=[], is_complete=False, run_s=0.0
             )
 
-        router = _Router([make_target("i0", "za")])
+        router = FirstTargetRouter([make_target("i0", "za")])
         self.run_attempts(router, run_local, make_exchange())
         self.assertEqual(4, len(tried))
         self.assert_freed()
