--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -44,3 +44,14 @@
         for line in lines:
             self.assertIn(f'customer="{ESCAPED_NAME}"', line)
         self.assertIn('guavagap_example{name="two\\nlines"} 1', text)
+
+    def test_a_process_can_have_two_proxies(self):
+        """Guards against CI that fails by the order of its tests.
+
+        A latency histogram took its name in the registry that a process shares.
+        """
+        for _ in range(2):
+            self.assertIn("guavagap_request_seconds", self.render_histogram())
+
+    def render_histogram(self) -> str:
+        return render(self.make_metrics()._registry, ["text/plain"])[0].decode()
