Let the first attempt of a key test fail wherever it runs

Trace: the log of a1 has no failed attempt, and i-a2's ramp-up had ended before the request (limit 6) while i-a1's had not (limit 1). The request was placed at i-a2, which the test had not told to fail, and was served there. That is allowed: the test is on keys, not on placement.

--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -236,7 +236,8 @@
     def test_key_is_checked_again_before_a_further_attempt(self):
         """Guards against an attempt for a customer that has lost the key meanwhile."""
         fleet = self.start_with_customers(layout={"a1": "za", "a2": "za"})
-        fleet.configure_upstream("i-a1", fail_share=1.0, delay_s=1.0)
+        for server_id in fleet.servers:
+            fleet.configure_upstream(server_id, fail_share=1.0, delay_s=1.0)
         responses = []
 
         def send() -> None:
@@ -245,6 +246,9 @@
         thread = threading.Thread(target=send)
         thread.start()
         wait_until(lambda: self.run_count(fleet, "w"), what="the first attempt runs")
+        for server_id in fleet.servers:
+            if "w" not in fleet.ledger(server_id)["runs"]:
+                fleet.configure_upstream(server_id, fail_share=0.0, delay_s=0.0)
         fleet.configure(9, ROUTES, CUSTOMERS[1:])
         thread.join()
         self.assertEqual([500], [response.status for response in responses])
