Reword four comments on departures, bodies and broken connections

Read as a newcomer would, they misled: "it" stood for the departure and for its record; "is told only once" did not say by whom; the summary of `_try_send` named no cause; and the rule for bodies that are not read completely hung on the one for costly traffic.

Comments and docstrings only.

--- a/guavagap/departure_records.py
+++ b/guavagap/departure_records.py
@@ -3,8 +3,8 @@
 A departure is acknowledged once the store keeps it, since all processes of the mesh may
 end at the same time and nothing else outlives them. While the store cannot be written,
 the witnesses of the node are told, which are other nodes that each process of it
-chooses alike: a node that restarts alone meanwhile learns the departure from them. It
-is acknowledged when the record is written after the outage.
+chooses alike: a node that restarts alone meanwhile learns the departure from them. The
+departure itself is acknowledged only after the outage, once its record is written.
 """
 
 import curio
--- a/guavagap/exchange.py
+++ b/guavagap/exchange.py
@@ -287,7 +287,7 @@
 
 
 async def _try_send(upstream: Upstream, sending: Awaitable[None]) -> bool:
-    """Await a part being sent; return False if that failed beside a response."""
+    """Send a part; return False if that failed, but a response has come."""
     try:
         await sending
     except GuavagapError:
--- a/guavagap/forwarding.py
+++ b/guavagap/forwarding.py
@@ -69,8 +69,8 @@
         server_id: the backend server to run the request on.
         health: updated with the condition that the owner node reports.
         is_cross_domain: whether the owner node is in another failure domain; traffic
-            there is costly, so a body is sent only after the request has a slot, as
-            one is that has not been read completely.
+            there is costly, so a body is sent only after the request has a slot. A
+            body that has not been read completely always waits for the slot.
     """
 
     def __init__(
--- a/guavagap/http1.py
+++ b/guavagap/http1.py
@@ -93,8 +93,8 @@
         is_head_request: whether the method of the latest request is HEAD, to which no
             response has a body.
         account: what the connection holds, if its client is not trusted.
-        is_broken: whether sending or a check has met an error of the connection. It is
-            told only once, so that the reader would take what follows for a proper end.
+        is_broken: whether sending or a check has met an error of the connection. The
+            socket reports an error only once; the reader would then see a proper end.
     """
 
     __slots__ = (
